--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder.
+//! Coordination parts of a fleet capacity and maintenance manager.
+//!
+//! Every part is a deterministic state machine without I/O: it takes events,
+//! the current [`Time`] and a seed where chance enters, and gives back actions
+//! for the embedder to carry out. `wigeonhinged` is one such embedder.
+//!
+//! - [`gateway`] decides on requests: admission, choice of upstream, retries.
+//! - [`fleet`] checks a fleet description.
+//! - [`outcome`] lists the error kinds of requests and their answers.
+
+pub mod error;
+pub mod fleet;
+pub mod gateway;
+pub mod id;
+pub mod outcome;
+
+pub use crate::error::Category;
+pub use crate::error::Error;
+pub use crate::error::Result;
+pub use crate::id::Time;
