--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,4 @@
+//! The operators' command of wigeonhinge.
+
+pub mod measure;
+pub mod owner;
