Add configuration edits, the platform client and its stand-in

The operators' command and the entries need the same rules for lost answers, so the resolution of an edit is a pure function of the document read back. HttpPlatform gives one call per endpoint of docs/wire.md and tells a write without effect from one whose outcome is unknown. The stand-in serves store, VM list and workers on loopback with faults and call counters.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! The entry daemon.
+
+pub mod platform;
--- /dev/null
+++ b/crates/daemon/src/platform/http.rs
@@ -0,0 +1,325 @@
+//! The platform over HTTP/1.1.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cyper::Client;
+use hyper::Method;
+use hyper::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use wigeonhinge::id::Fence;
+
+use crate::platform::Document;
+use crate::platform::Error;
+use crate::platform::Item;
+use crate::platform::LeaseId;
+use crate::platform::Platform;
+use crate::platform::Reply;
+use crate::platform::Result;
+use crate::platform::Start;
+use crate::platform::Swap;
+use crate::platform::TaskCommand;
+use crate::platform::Version;
+use crate::platform::VmList;
+use crate::platform::WorkerCommand;
+use crate::platform::Workers;
+use crate::platform::parse;
+
+/// Time for one call, without the wait of a watch.
+///
+/// A session lease of 6 s survives one call that uses it up.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Bytes of an answer that are read.
+const ANSWER_BYTES: u64 = 16 << 20;
+
+/// Header that names the entry that calls.
+const CALLER: &str = "wigeonhinge-entry";
+
+/// The platform at an address.
+///
+/// A clone uses the same connections. The runtime of the current thread drives
+/// them, so a value stays on the thread that made it.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    base: String,
+    caller: String,
+    client: Client,
+    timeout: Duration,
+}
+
+impl HttpPlatform {
+    /// Creates a client for the platform at `base`, as `http://IP:port`, on behalf of `caller`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the client cannot be set up.
+    pub fn new(base: &str, caller: &str) -> Result<Self> {
+        let client = Client::builder().no_proxy().build().map_err(Error::none)?;
+        Ok(Self {
+            base: base.trim_end_matches('/').to_owned(),
+            caller: caller.to_owned(),
+            client,
+            timeout: CALL_TIMEOUT,
+        })
+    }
+
+    /// Replaces the time for one call.
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Answer> {
+        self.call_within(method, path, body, self.timeout).await
+    }
+
+    async fn call_within(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        time: Duration,
+    ) -> Result<Answer> {
+        let exchange = self.exchange(method, path, body);
+        match compio::time::timeout(time, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => Err(Error::unknown("no answer in time")),
+        }
+    }
+
+    async fn exchange(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Answer> {
+        let url = format!("{}{path}", self.base);
+        let mut request = self.client.request(method, url).map_err(Error::none)?;
+        request = request
+            .header(CALLER, self.caller.as_str())
+            .map_err(Error::none)?;
+        if !body.is_empty() {
+            request = request
+                .header("content-type", "application/json")
+                .map_err(Error::none)?
+                .body(body);
+        }
+        let response = request.send().await.map_err(send_error)?;
+        if response.content_length().unwrap_or(0) > ANSWER_BYTES {
+            return Err(Error::unknown("the answer is too large"));
+        }
+        let status = response.status();
+        let body = response.bytes().await.map_err(Error::unknown)?;
+        if status.is_server_error() {
+            return Err(Error::unknown(format!("status {status}")));
+        }
+        Ok(Answer { status, body })
+    }
+
+    async fn order(&self, path: &str, body: Vec<u8>) -> Result<Reply> {
+        let answer = self.call(Method::POST, path, body).await?;
+        match answer.status {
+            StatusCode::OK => Ok(Reply::Done),
+            StatusCode::CONFLICT => Ok(Reply::Fenced(parse::<Fenced>(&answer.body)?.fence)),
+            StatusCode::UNPROCESSABLE_ENTITY => {
+                let refused: Refused = parse(&answer.body)?;
+                Ok(Reply::Refused(refused.reason.into()))
+            }
+            _ => Err(answer.unexpected()),
+        }
+    }
+}
+
+impl Platform for HttpPlatform {
+    async fn get<T: DeserializeOwned>(&self, key: &str) -> Result<Option<Document<T>>> {
+        let path = format!("/v1/kv/{key}");
+        let answer = self.call(Method::GET, &path, Vec::new()).await?;
+        match answer.status {
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => answer.read().map(Some),
+        }
+    }
+
+    async fn put<T: Serialize>(
+        &self,
+        key: &str,
+        value: &T,
+        expect: Version,
+        lease: Option<LeaseId>,
+    ) -> Result<Swap> {
+        let path = format!("/v1/kv/{key}");
+        let write = Write {
+            value,
+            expect,
+            lease,
+        };
+        let body = serde_json::to_vec(&write).map_err(Error::none)?;
+        self.call(Method::PUT, &path, body).await?.swap()
+    }
+
+    async fn delete(&self, key: &str, expect: Version) -> Result<Swap> {
+        let path = format!("/v1/kv/{key}?expect={expect}");
+        self.call(Method::DELETE, &path, Vec::new()).await?.swap()
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Item>> {
+        let path = format!("/v1/list?prefix={prefix}");
+        let answer = self.call(Method::GET, &path, Vec::new()).await?;
+        answer.read::<Items>().map(|items| items.items)
+    }
+
+    async fn watch<T: DeserializeOwned>(
+        &self,
+        key: &str,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Option<Document<T>>> {
+        let wait_ms = wait.as_millis();
+        let path = format!("/v1/watch?key={key}&after={after}&wait_ms={wait_ms}");
+        let time = self.timeout + wait;
+        let answer = self
+            .call_within(Method::GET, &path, Vec::new(), time)
+            .await?;
+        match answer.status {
+            StatusCode::NO_CONTENT => Ok(None),
+            _ => answer.read().map(Some),
+        }
+    }
+
+    async fn grant(&self, holder: &str, ttl: Duration) -> Result<LeaseId> {
+        let body = json!({ "holder": holder, "ttl_ms": ttl.as_millis() as u64 });
+        let body = body.to_string().into_bytes();
+        let answer = self.call(Method::POST, "/v1/leases", body).await?;
+        answer.read::<Granted>().map(|granted| granted.lease)
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<bool> {
+        let path = format!("/v1/leases/{lease}/renew");
+        let answer = self.call(Method::POST, &path, Vec::new()).await?;
+        answer.found()
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<()> {
+        let path = format!("/v1/leases/{lease}");
+        let answer = self.call(Method::DELETE, &path, Vec::new()).await?;
+        answer.found().map(|_| ())
+    }
+
+    async fn vms(&self) -> Result<VmList> {
+        let answer = self.call(Method::GET, "/v1/vms", Vec::new()).await?;
+        answer.read()
+    }
+
+    async fn workers(&self, pool: &str) -> Result<Workers> {
+        let path = format!("/v1/workers?pool={pool}");
+        let answer = self.call(Method::GET, &path, Vec::new()).await?;
+        answer.read()
+    }
+
+    async fn start(&self, vm: &str, start: &Start) -> Result<Reply> {
+        let body = serde_json::to_vec(start).map_err(Error::none)?;
+        self.order(&format!("/v1/workers/{vm}/tasks"), body).await
+    }
+
+    async fn task(
+        &self,
+        vm: &str,
+        id: &str,
+        command: TaskCommand,
+        fence: Fence,
+        lease_ms: u64,
+    ) -> Result<Reply> {
+        let path = format!("/v1/workers/{vm}/tasks/{id}/{}", command.path());
+        let body = match command {
+            TaskCommand::Renew => json!({ "fence": fence, "lease_ms": lease_ms }),
+            _ => json!({ "fence": fence }),
+        };
+        self.order(&path, body.to_string().into_bytes()).await
+    }
+
+    async fn command(&self, vm: &str, command: WorkerCommand, fence: Fence) -> Result<Reply> {
+        let path = format!("/v1/workers/{vm}/{}", command.path());
+        let body = json!({ "fence": fence }).to_string();
+        self.order(&path, body.into_bytes()).await
+    }
+}
+
+/// Only a failed connection attempt is known to have had no effect.
+fn send_error(error: cyper::Error) -> Error {
+    match error {
+        cyper::Error::HyperClient(error) if error.is_connect() => Error::none(error),
+        error => Error::unknown(error),
+    }
+}
+
+struct Answer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl Answer {
+    fn read<T: DeserializeOwned>(&self) -> Result<T> {
+        match self.status {
+            StatusCode::OK => parse(&self.body),
+            _ => Err(self.unexpected()),
+        }
+    }
+
+    fn swap(&self) -> Result<Swap> {
+        match self.status {
+            StatusCode::OK => parse::<Versioned>(&self.body).map(|it| Swap::Done(it.version)),
+            StatusCode::CONFLICT => {
+                parse::<Versioned>(&self.body).map(|it| Swap::Conflict(it.version))
+            }
+            _ => Err(self.unexpected()),
+        }
+    }
+
+    fn found(&self) -> Result<bool> {
+        match self.status {
+            StatusCode::OK => Ok(true),
+            StatusCode::NOT_FOUND => Ok(false),
+            _ => Err(self.unexpected()),
+        }
+    }
+
+    fn unexpected(&self) -> Error {
+        let reason = format!("status {}", self.status);
+        match self.status.is_client_error() {
+            true => Error::none(reason),
+            false => Error::unknown(reason),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Write<'a, T> {
+    value: &'a T,
+    expect: Version,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    lease: Option<LeaseId>,
+}
+
+#[derive(Deserialize)]
+struct Versioned {
+    version: Version,
+}
+
+#[derive(Deserialize)]
+struct Items {
+    items: Vec<Item>,
+}
+
+#[derive(Deserialize)]
+struct Granted {
+    lease: LeaseId,
+}
+
+#[derive(Deserialize)]
+struct Fenced {
+    fence: Fence,
+}
+
+#[derive(Deserialize)]
+struct Refused {
+    reason: String,
+}
--- /dev/null
+++ b/crates/daemon/tests/platform.rs
@@ -0,0 +1,180 @@
+//! Tests of the platform client against the stand-in.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use wigeonhinge_standin::platform::Mode;
+use wigeonhinge_standin::platform::Platform as Standin;
+use wigeonhinge_standin::vms::State;
+use wigeonhinge_standin::workers::Faults;
+use wigeonhinged::platform::Effect;
+use wigeonhinged::platform::HttpPlatform;
+use wigeonhinged::platform::Platform;
+use wigeonhinged::platform::Reply;
+use wigeonhinged::platform::Start;
+use wigeonhinged::platform::Swap;
+use wigeonhinged::platform::TaskCommand;
+use wigeonhinged::platform::TaskState;
+use wigeonhinged::platform::VmState;
+use wigeonhinged::platform::WorkerCommand;
+use wigeonhinged::platform::WorkerState;
+
+fn open() -> (Standin, HttpPlatform) {
+    let standin = Standin::spawn().expect("stand-in");
+    let client = HttpPlatform::new(&standin.base(), "entry-1").expect("client");
+    let client = client.with_timeout(Duration::from_millis(300));
+    (standin, client)
+}
+
+async fn read(client: &HttpPlatform, key: &str) -> Option<(u64, Value)> {
+    let document = client.get(key).await.expect("get");
+    document.map(|document| (document.version, document.value))
+}
+
+/// Guards against a compare-and-swap that writes from another version.
+#[compio::test]
+async fn put_conflict() {
+    let (_standin, client) = open();
+    let value = json!({ "a": 1 });
+    let first = client.put("config", &value, 0, None).await;
+    assert_eq!(first, Ok(Swap::Done(1)));
+    let raced = client.put("config", &json!(2), 0, None).await;
+    assert_eq!(raced, Ok(Swap::Conflict(1)));
+    assert_eq!(read(&client, "config").await, Some((1, value)));
+}
+
+/// Guards against a key whose version goes down when it is created again.
+#[compio::test]
+async fn delete_version() {
+    let (_standin, client) = open();
+    client.put("k", &1, 0, None).await.expect("put");
+    let deleted = client.delete("k", 1).await;
+    assert_eq!(deleted, Ok(Swap::Done(1)));
+    assert_eq!(read(&client, "k").await, None);
+    let again = client.put("k", &1, 0, None).await;
+    assert_eq!(again, Ok(Swap::Done(2)));
+}
+
+/// Guards against "did not take effect" for a write whose answer was lost.
+#[compio::test]
+async fn put_answer_lost() {
+    let (standin, client) = open();
+    standin.state().lose_answers = 1;
+    let error = client.put("k", &1, 0, None).await.expect_err("lost");
+    assert_eq!(error.effect(), Effect::Unknown);
+    assert_eq!(read(&client, "k").await, Some((1, json!(1))));
+}
+
+/// Guards against calls that never end.
+#[compio::test]
+async fn put_time_out() {
+    let (standin, client) = open();
+    standin.state().mode = Mode::Hang;
+    let error = client.put("k", &1, 0, None).await.expect_err("hangs");
+    assert_eq!(error.effect(), Effect::Unknown);
+}
+
+/// Guards against "outcome unknown" when no connection could be made.
+#[compio::test]
+async fn put_unconnected() {
+    let (standin, client) = open();
+    drop(standin);
+    let error = client.put("k", &1, 0, None).await.expect_err("no server");
+    assert_eq!(error.effect(), Effect::None);
+}
+
+/// Guards against keys that outlive their lease.
+#[compio::test]
+async fn lease_lapse() {
+    let (standin, client) = open();
+    let lease = client.grant("entry-1", Duration::from_secs(6)).await;
+    let lease = lease.expect("grant");
+    client.put("role/x", &1, 0, Some(lease)).await.expect("put");
+    assert_eq!(client.renew(lease).await, Ok(true));
+    assert_eq!(client.list("role/").await.expect("list").len(), 1);
+    standin.state().store.lapse("entry-1");
+    assert_eq!(client.renew(lease).await, Ok(false));
+    assert_eq!(read(&client, "role/x").await, None);
+    let late = client.put("role/x", &1, 0, Some(lease)).await;
+    assert_eq!(late.expect_err("ended").effect(), Effect::None);
+}
+
+/// Guards against watches that miss a write or answer without one.
+#[compio::test]
+async fn watch_write() {
+    let (standin, client) = open();
+    let none = client.watch::<Value>("k", 0, Duration::ZERO).await;
+    assert_eq!(none, Ok(None));
+    let writer = compio::runtime::spawn(async move {
+        compio::time::sleep(Duration::from_millis(50)).await;
+        let written = standin.state().store.put("k", json!(5), 0, None);
+        (standin, written)
+    });
+    let seen = client.watch::<Value>("k", 0, Duration::from_secs(5)).await;
+    assert_eq!(seen.expect("watch").expect("value").value, json!(5));
+    assert!(writer.await.expect("writer").1.is_ok());
+}
+
+/// Guards against a lagging VM list that is shown as current.
+#[compio::test]
+async fn vms_lag() {
+    let (standin, client) = open();
+    let now = std::time::Instant::now();
+    standin.state().vms.set("vm", State::Live, now);
+    standin.state().vms.lag(Duration::from_millis(100));
+    compio::time::sleep(Duration::from_millis(150)).await;
+    let now = std::time::Instant::now();
+    standin.state().vms.set("vm", State::Leaving, now);
+    let lagging = client.vms().await.expect("list");
+    assert_eq!(lagging.vms[0].state, VmState::Live);
+    compio::time::sleep(Duration::from_millis(150)).await;
+    let current = client.vms().await.expect("list");
+    assert_eq!(current.vms[0].state, VmState::Leaving);
+}
+
+fn start(fence: u64) -> Start {
+    Start {
+        id: "job".into(),
+        fence,
+        lease_ms: 10_000,
+        millicores: 100,
+        memory_mb: 64,
+        accelerators: 0,
+    }
+}
+
+/// Guards against a former role holder that still commands a worker.
+#[compio::test]
+async fn worker_fence() {
+    let (standin, client) = open();
+    standin.state().workers.add("vm", "crews");
+    assert_eq!(client.start("vm", &start(5)).await, Ok(Reply::Done));
+    assert_eq!(client.start("vm", &start(5)).await, Ok(Reply::Done));
+    assert_eq!(standin.state().workers.starts("vm"), 1);
+    let old = client.command("vm", WorkerCommand::Drain, 4).await;
+    assert_eq!(old, Ok(Reply::Fenced(5)));
+    let stop = client.task("vm", "job", TaskCommand::Stop, 5, 0).await;
+    assert_eq!(stop, Ok(Reply::Done));
+}
+
+/// Guards against a stand-in that hides workers that come back broken.
+#[compio::test]
+async fn worker_broken() {
+    let (standin, client) = open();
+    let faults = Faults {
+        broken: true,
+        fails: true,
+        ..Faults::default()
+    };
+    standin.state().workers.add("vm", "crews");
+    standin.state().workers.faults("vm", faults);
+    assert_eq!(client.start("vm", &start(1)).await, Ok(Reply::Done));
+    let list = client.workers("crews").await.expect("list");
+    assert_eq!(list.workers[0].tasks[0].state, TaskState::Failed);
+    let reboot = client.command("vm", WorkerCommand::Reboot, 1).await;
+    assert_eq!(reboot, Ok(Reply::Done));
+    compio::time::sleep(Duration::from_millis(300)).await;
+    let list = client.workers("crews").await.expect("list");
+    assert_eq!(list.workers[0].state, WorkerState::Broken);
+}
--- /dev/null
+++ b/crates/standin/src/workers.rs
@@ -0,0 +1,317 @@
+//! The workers: cordon, drain, reboot, uncordon, and tasks under leases and fences.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::platform::unix_ms;
+
+/// Time that a reboot takes unless set otherwise.
+pub const REBOOT: Duration = Duration::from_millis(200);
+
+/// Workers of all pools.
+#[derive(Clone, Debug, Default)]
+pub struct Workers {
+    workers: BTreeMap<String, Worker>,
+}
+
+/// Faults of a worker.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// It does not work after its next reboot.
+    pub broken: bool,
+    /// Every task that it starts fails at once.
+    pub fails: bool,
+    /// Its usage reports show a value only after this time.
+    pub lag: Duration,
+}
+
+/// A task to start.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Start {
+    /// Identifier.
+    pub id: String,
+    /// Fence of the one who starts it.
+    pub fence: u64,
+    /// Milliseconds that it may run without being renewed.
+    pub lease_ms: u64,
+    /// Thousandths of a core that it declares.
+    #[serde(default)]
+    pub millicores: u32,
+    /// Memory in MiB that it declares.
+    #[serde(default)]
+    pub memory_mb: u64,
+    /// Accelerators that it declares.
+    #[serde(default)]
+    pub accelerators: u32,
+}
+
+/// Why a worker refused a command.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// No such worker or task.
+    Absent,
+    /// It has seen this higher fence.
+    Fenced(u64),
+    /// Its state does not allow the command.
+    State(&'static str),
+}
+
+/// Result of a command.
+pub type Result = std::result::Result<(), Refusal>;
+
+#[derive(Clone, Debug)]
+struct Worker {
+    pool: String,
+    state: State,
+    fence: u64,
+    faults: Faults,
+    reboot: Duration,
+    until: Option<Instant>,
+    tasks: BTreeMap<String, Task>,
+    starts: u64,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    Up,
+    Cordoned,
+    Draining,
+    Drained,
+    Rebooting,
+    Broken,
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    state: &'static str,
+    fence: u64,
+    end: Instant,
+    usage: Option<(Instant, u64, u32, u64)>,
+}
+
+impl Workers {
+    /// Adds a worker to a pool.
+    pub fn add(&mut self, vm: &str, pool: &str) {
+        let worker = Worker {
+            pool: pool.to_owned(),
+            state: State::Up,
+            fence: 0,
+            faults: Faults::default(),
+            reboot: REBOOT,
+            until: None,
+            tasks: BTreeMap::new(),
+            starts: 0,
+        };
+        self.workers.insert(vm.to_owned(), worker);
+    }
+
+    /// Sets the faults of a worker.
+    pub fn faults(&mut self, vm: &str, faults: Faults) {
+        if let Some(worker) = self.workers.get_mut(vm) {
+            worker.faults = faults;
+        }
+    }
+
+    /// Sets how long the reboots of a worker take.
+    pub fn reboot_time(&mut self, vm: &str, time: Duration) {
+        if let Some(worker) = self.workers.get_mut(vm) {
+            worker.reboot = time;
+        }
+    }
+
+    /// Returns how often a worker began to run a task.
+    pub fn starts(&self, vm: &str) -> u64 {
+        self.workers.get(vm).map_or(0, |worker| worker.starts)
+    }
+
+    /// Ends a task by itself.
+    pub fn finish(&mut self, vm: &str, id: &str, success: bool) {
+        let worker = self.workers.get_mut(vm);
+        let task = worker.and_then(|worker| worker.tasks.get_mut(id));
+        if let Some(task) = task.filter(|task| task.runs()) {
+            task.state = if success { "done" } else { "failed" };
+        }
+    }
+
+    /// Sets what a task uses from now on; reported after the lag of its worker.
+    pub fn usage(&mut self, vm: &str, id: &str, millicores: u32, memory_mb: u64, now: Instant) {
+        let worker = self.workers.get_mut(vm);
+        if let Some(task) = worker.and_then(|worker| worker.tasks.get_mut(id)) {
+            task.usage = Some((now, unix_ms(), millicores, memory_mb));
+        }
+    }
+
+    /// Starts a task; a second start of the same task and fence has no effect.
+    ///
+    /// # Errors
+    ///
+    /// Fails for an absent worker, a lower fence or a worker that is not up.
+    pub fn start(&mut self, vm: &str, start: &Start, now: Instant) -> Result {
+        let worker = self.fenced(vm, start.fence)?;
+        let known = worker.tasks.get(&start.id);
+        if known.is_some_and(|task| task.fence == start.fence) {
+            return Ok(());
+        }
+        if known.is_some_and(Task::runs) {
+            return Err(Refusal::State("the task runs already"));
+        }
+        if worker.state != State::Up {
+            return Err(Refusal::State("the worker takes no tasks"));
+        }
+        let fails = worker.faults.fails;
+        let task = Task {
+            state: if fails { "failed" } else { "running" },
+            fence: start.fence,
+            end: now + Duration::from_millis(start.lease_ms),
+            usage: Some((now, unix_ms(), start.millicores, start.memory_mb)),
+        };
+        worker.starts += u64::from(!fails);
+        worker.tasks.insert(start.id.clone(), task);
+        Ok(())
+    }
+
+    /// Carries out `renew`, `checkpoint`, `throttle` or `stop` on a task.
+    ///
+    /// # Errors
+    ///
+    /// Fails for an absent task, a lower fence or a task that has ended.
+    pub fn task(
+        &mut self,
+        vm: &str,
+        id: &str,
+        command: &str,
+        order: (u64, u64),
+        now: Instant,
+    ) -> Result {
+        let (fence, lease_ms) = order;
+        let worker = self.fenced(vm, fence)?;
+        let task = worker.tasks.get_mut(id).ok_or(Refusal::Absent)?;
+        if !task.runs() {
+            return Err(Refusal::State("the task has ended"));
+        }
+        match command {
+            "renew" => task.end = now + Duration::from_millis(lease_ms),
+            "checkpoint" => task.state = "checkpointed",
+            "throttle" => task.state = "throttled",
+            "stop" => task.state = "stopped",
+            _ => return Err(Refusal::Absent),
+        }
+        Ok(())
+    }
+
+    /// Carries out `cordon`, `drain`, `reboot` or `uncordon` on a worker.
+    ///
+    /// # Errors
+    ///
+    /// Fails for an absent worker, a lower fence or a state that forbids the command.
+    pub fn command(&mut self, vm: &str, command: &str, fence: u64, now: Instant) -> Result {
+        let worker = self.fenced(vm, fence)?;
+        match (command, worker.state) {
+            (_, State::Rebooting) => return Err(Refusal::State("the worker reboots")),
+            ("reboot", _) => worker.restart(now),
+            (_, State::Broken) => return Err(Refusal::State("the worker is broken")),
+            ("cordon", State::Up) => worker.state = State::Cordoned,
+            ("cordon", _) => {}
+            ("drain", State::Drained) => {}
+            ("drain", _) => worker.state = State::Draining,
+            ("uncordon", _) => worker.state = State::Up,
+            _ => return Err(Refusal::Absent),
+        }
+        Ok(())
+    }
+
+    fn fenced(&mut self, vm: &str, fence: u64) -> std::result::Result<&mut Worker, Refusal> {
+        let worker = self.workers.get_mut(vm).ok_or(Refusal::Absent)?;
+        if fence < worker.fence {
+            return Err(Refusal::Fenced(worker.fence));
+        }
+        worker.fence = fence;
+        Ok(worker)
+    }
+
+    /// Lets time pass: leases end, reboots finish, drained workers report so.
+    pub fn tick(&mut self, now: Instant) {
+        for worker in self.workers.values_mut() {
+            worker.tick(now);
+        }
+    }
+
+    /// Returns the workers of a pool as the platform reports them.
+    pub fn list(&self, pool: &str, now: Instant) -> Value {
+        let workers: Vec<Value> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.pool == pool)
+            .map(|(vm, worker)| worker.report(vm, now))
+            .collect();
+        json!({ "as_of_ms": unix_ms(), "workers": workers })
+    }
+}
+
+impl Worker {
+    fn restart(&mut self, now: Instant) {
+        self.state = State::Rebooting;
+        self.until = Some(now + self.reboot);
+        self.tasks.clear();
+    }
+
+    fn tick(&mut self, now: Instant) {
+        for task in self.tasks.values_mut().filter(|task| task.runs()) {
+            if task.end <= now {
+                task.state = "expired";
+            }
+        }
+        if self.state == State::Draining && !self.tasks.values().any(Task::runs) {
+            self.state = State::Drained;
+        }
+        if self.until.is_some_and(|until| until <= now) {
+            self.until = None;
+            self.state = match self.faults.broken {
+                true => State::Broken,
+                false => State::Cordoned,
+            };
+        }
+    }
+
+    fn report(&self, vm: &str, now: Instant) -> Value {
+        let lag = self.faults.lag;
+        let tasks: Vec<Value> = self
+            .tasks
+            .iter()
+            .map(|(id, task)| task.report(id, lag, now))
+            .collect();
+        json!({ "vm": vm, "state": self.state.name(), "fence": self.fence, "tasks": tasks })
+    }
+}
+
+impl Task {
+    fn runs(&self) -> bool {
+        matches!(self.state, "running" | "throttled")
+    }
+
+    fn report(&self, id: &str, lag: Duration, now: Instant) -> Value {
+        let usage = self.usage.filter(|(since, ..)| *since + lag <= now);
+        let usage = usage.map(|(_, at_ms, millicores, memory_mb)| {
+            json!({ "at_ms": at_ms, "millicores": millicores, "memory_mb": memory_mb })
+        });
+        json!({ "id": id, "state": self.state, "fence": self.fence, "usage": usage })
+    }
+}
+
+impl State {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Up => "up",
+            Self::Cordoned => "cordoned",
+            Self::Draining => "draining",
+            Self::Drained => "drained",
+            Self::Rebooting => "rebooting",
+            Self::Broken => "broken",
+        }
+    }
+}
--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -4,10 +4,12 @@
 //! the current [`Time`] and a seed where chance enters, and gives back actions
 //! for the embedder to carry out. `wigeonhinged` is one such embedder.
 //!
+//! - [`config`] adopts configurations and resolves edits.
 //! - [`gateway`] decides on requests: admission, choice of upstream, retries.
 //! - [`fleet`] checks a fleet description.
 //! - [`outcome`] lists the error kinds of requests and their answers.
 
+pub mod config;
 pub mod error;
 pub mod fleet;
 pub mod gateway;
--- /dev/null
+++ b/crates/wigeonhinge/tests/config.rs
@@ -0,0 +1,92 @@
+//! Tests of adoption and of edits.
+
+use compact_str::CompactString;
+use rstest::rstest;
+use wigeonhinge::config::Adopter;
+use wigeonhinge::config::EDIT_RECORDS;
+use wigeonhinge::config::Edit;
+use wigeonhinge::config::Offer;
+use wigeonhinge::config::Resolution;
+use wigeonhinge_schema::fleet::Config;
+use wigeonhinge_schema::fleet::Fleet;
+
+fn edit(id: &str, base: u64) -> Edit {
+    Edit {
+        id: CompactString::from(id),
+        base,
+        author: CompactString::from(format!("author of {id}")),
+        reason: CompactString::default(),
+        fleet: Fleet::default(),
+    }
+}
+
+fn chain(ids: &[&str]) -> Config {
+    ids.iter().fold(Config::default(), |config, id| {
+        edit(id, config.revision).next(&config, 0).expect("next")
+    })
+}
+
+/// Guards against an entry that goes back when the store answers with an older value.
+#[rstest]
+#[case::newer(&["a", "b", "c"], 3)]
+#[case::older(&["a"], 2)]
+#[case::absent(&[], 2)]
+fn offer_monotonic(#[case] offered: &[&str], #[case] expected: u64) {
+    let mut adopter = Adopter::default();
+    adopter.offer(chain(&["a", "b"]));
+    adopter.offer(chain(offered));
+    assert_eq!(adopter.revision(), expected);
+}
+
+/// Guards against replacing a revision in force by another edit of the same revision.
+#[test]
+fn offer_fault() {
+    let mut adopter = Adopter::default();
+    adopter.offer(chain(&["a"]));
+    assert_eq!(adopter.offer(chain(&["a"])), Offer::Current);
+    let fault = Offer::Fault {
+        ours: "a".into(),
+        theirs: "b".into(),
+    };
+    assert_eq!(adopter.offer(chain(&["b"])), fault);
+    assert_eq!(adopter.current().expect("config").edit_id, "a");
+}
+
+/// Guards against a wrong verdict on an edit whose answer was lost.
+#[rstest]
+#[case::taken(&["a", "me"], Resolution::Accepted(2))]
+#[case::taken_then_others(&["a", "me", "c"], Resolution::Accepted(2))]
+#[case::open(&["a"], Resolution::Open)]
+#[case::outdated(&[], Resolution::Open)]
+#[case::raced(&["a", "b"], refused())]
+#[case::raced_twice(&["a", "b", "c"], refused())]
+fn resolve_cases(#[case] ids: &[&str], #[case] expected: Resolution) {
+    assert_eq!(edit("me", 1).resolve(&chain(ids)), expected);
+}
+
+fn refused() -> Resolution {
+    Resolution::Refused {
+        revision: 2,
+        author: "author of b".into(),
+    }
+}
+
+/// Guards against "refused" for an edit whose record may have been dropped.
+#[test]
+fn resolve_forgotten() {
+    let mut config = chain(&["me"]);
+    for n in 0..EDIT_RECORDS {
+        config = edit(&format!("e{n}"), config.revision)
+            .next(&config, 0)
+            .expect("next");
+    }
+    assert_eq!(config.edits.len(), EDIT_RECORDS);
+    assert_eq!(edit("me", 0).resolve(&config), Resolution::Unknown);
+}
+
+/// Guards against an edit that is applied to another base or a second time.
+#[test]
+fn next_conflict() {
+    assert!(edit("b", 0).next(&chain(&["a"]), 0).is_err());
+    assert!(edit("a", 1).next(&chain(&["a"]), 0).is_err());
+}
