--- /dev/null
+++ b/crates/wigeonhinge/src/controller.rs
@@ -0,0 +1,161 @@
+//! The controller of a region's fleet, driven by the holder of role `fleet/{region}`.
+//!
+//! Each call of [`Controller::step`] takes what is known and gives back at most
+//! one ledger value to write and the orders for workers. The result depends on
+//! the confirmed ledger alone, so that a new holder resumes any step from the
+//! document: an order is given only for a phase that the store has confirmed.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use wigeonhinge_schema::audit::Record;
+use wigeonhinge_schema::fleet::Fleet;
+
+use crate::id::Fence;
+use crate::id::Revision;
+use crate::id::Time;
+use crate::id::VmId;
+use crate::ledger::Change;
+use crate::ledger::Ledger;
+
+/// What is known at the time of a step.
+#[derive(Clone, Copy, Debug)]
+pub struct Input<'a> {
+    /// Time since the Unix epoch.
+    pub now: Time,
+    /// Fence of the role while its lease is valid; none without a valid lease.
+    pub fence: Option<Fence>,
+    /// Ledger and its version as the store last confirmed them, version 0 for an absent key; none
+    /// while the store does not respond or the answer to a write is outstanding.
+    pub ledger: Option<(u64, &'a Ledger)>,
+    /// Revision of the adopted fleet description.
+    pub revision: Revision,
+    /// Adopted fleet description.
+    pub fleet: &'a Fleet,
+    /// Latest VM list of the platform.
+    pub list: &'a VmList,
+    /// Latest report of each worker.
+    pub workers: &'a BTreeMap<VmId, Worker>,
+    /// Changes that operators and the balancer ask for.
+    pub requests: &'a [Request],
+}
+
+/// VM list of the platform.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct VmList {
+    /// Time that the list describes, since the Unix epoch.
+    pub as_of: Time,
+    /// State of each VM.
+    pub vms: BTreeMap<VmId, ListState>,
+}
+
+/// State of a VM in the list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ListState {
+    /// Runs.
+    Live,
+    /// Is about to be stopped.
+    Leaving,
+    /// Does not exist any more.
+    Gone,
+}
+
+/// Report of a worker.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Worker {
+    /// Time of the report, since the Unix epoch.
+    pub at: Time,
+    /// Whether the worker passes its health checks.
+    pub healthy: bool,
+    /// Whether the worker refuses new work.
+    pub cordoned: bool,
+    /// Tasks and requests in progress.
+    pub tasks: u32,
+    /// Boot number; differs after each reboot.
+    pub boot: u64,
+}
+
+/// A change that someone other than the controller asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// Who asks.
+    pub author: CompactString,
+    /// Why.
+    pub reason: CompactString,
+    /// The change: `Cordon` with a target, `Quarantine` or `Wave`.
+    pub change: Change,
+}
+
+/// Result of a step.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Output {
+    /// Ledger value to write, if any.
+    pub write: Option<Write>,
+    /// Orders for workers, for phases that the store has confirmed.
+    pub orders: Vec<Order>,
+    /// Answers to the requests, in their order: none when accepted with the write.
+    pub refused: Vec<Option<CompactString>>,
+}
+
+/// A ledger value to write by compare-and-swap.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Write {
+    /// Version that the value replaces; 0 for an absent key.
+    pub expect: u64,
+    /// Value.
+    pub ledger: Ledger,
+    /// Audit records to log once the write is confirmed.
+    pub records: Vec<Record>,
+}
+
+/// An order for a worker.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Order {
+    /// VM.
+    pub vm: VmId,
+    /// What to do.
+    pub action: Action,
+    /// Fence of the role; the worker rejects one lower than the highest it has seen.
+    pub fence: Fence,
+    /// Step of the VM in the ledger; tells a repeated order from a new one.
+    pub step: u64,
+}
+
+/// What an order asks of a worker.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Action {
+    /// Take no new work.
+    Cordon,
+    /// Finish or hand over the work in progress.
+    Drain,
+    /// Reboot.
+    Reboot,
+    /// Take new work.
+    Uncordon,
+}
+
+/// The controller of a region's fleet.
+#[derive(Clone, Debug)]
+pub struct Controller {
+    region: CompactString,
+    entry: CompactString,
+}
+
+impl Controller {
+    /// Returns a controller for a region that acts in the name of an entry.
+    pub fn new(region: &str, entry: &str) -> Self {
+        Self {
+            region: region.into(),
+            entry: entry.into(),
+        }
+    }
+
+    /// Decides on the next ledger value and on the orders for workers.
+    ///
+    /// Call it on every tick and after every confirmed write. After a refused write or a lost
+    /// answer, read the ledger again and call it with what the store holds.
+    pub fn step(&self, input: &Input<'_>) -> Output {
+        let _ = (&self.region, &self.entry, input);
+        Output::default()
+    }
+}
--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -6,12 +6,16 @@
 //!
 //! - [`gateway`] decides on requests: admission, choice of upstream, retries.
 //! - [`fleet`] checks a fleet description.
+//! - [`ledger`] records which pool owns a VM and guards budgets.
+//! - [`controller`] drives maintenance, moves and inventory edits of a region.
 //! - [`outcome`] lists the error kinds of requests and their answers.
 
+pub mod controller;
 pub mod error;
 pub mod fleet;
 pub mod gateway;
 pub mod id;
+pub mod ledger;
 pub mod outcome;
 
 pub use crate::error::Category;
