--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`gateway`] decides on requests: admission, choice of upstream, retries.
 //! - [`fleet`] checks a fleet description.
+//! - [`scheduler`] decides on the jobs of a pool.
 //! - [`outcome`] lists the error kinds of requests and their answers.
 
 pub mod error;
@@ -13,6 +14,7 @@
 pub mod gateway;
 pub mod id;
 pub mod outcome;
+pub mod scheduler;
 
 pub use crate::error::Category;
 pub use crate::error::Error;
