--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`fleet`] checks a fleet description.
 //! - [`ledger`] records which pool owns a VM and guards budgets.
 //! - [`controller`] drives maintenance, moves and inventory edits of a region.
+//! - [`scheduler`] decides on the jobs of a pool.
 //! - [`outcome`] lists the error kinds of requests and their answers.
 
 pub mod config;
@@ -19,6 +20,7 @@
 pub mod id;
 pub mod ledger;
 pub mod outcome;
+pub mod scheduler;
 
 pub use crate::error::Category;
 pub use crate::error::Error;
