--- a/crates/wigeonhinge/src/gateway.rs
+++ b/crates/wigeonhinge/src/gateway.rs
@@ -5,16 +5,18 @@
 //! [`Event::Arrive`] until [`Action::Fail`], a final [`Event::Report`] or
 //! [`Event::Cancel`].
 
+mod event;
+mod status;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use wigeonhinge_schema::fleet;
 
-use crate::id::CallerId;
 use crate::id::EntryId;
 use crate::id::ServiceId;
-use crate::id::TeamId;
 use crate::id::Ticket;
 use crate::id::Time;
 use crate::id::UpstreamId;
@@ -23,81 +25,16 @@
 use crate::outcome::Kind;
 use crate::outcome::Run;
 
-/// A request that has arrived in full.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Arrival {
-    /// Number that the embedder gives the request.
-    pub ticket: Ticket,
-    /// Service asked for.
-    pub service: ServiceId,
-    /// Caller, by its IP number.
-    pub caller: CallerId,
-    /// Team; empty without one.
-    pub team: TeamId,
-    /// Whether it may run more than once.
-    pub idempotent: bool,
-    /// When the caller gives up.
-    pub deadline: Time,
-}
-
-/// How sending a request ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Sent {
-    /// The upstream's whole answer was received; `failed` for a 5xx status.
-    Answered {
-        /// Whether the status is 500 or above.
-        failed: bool,
-    },
-    /// Sending failed.
-    Failed(Kind),
-}
+pub use crate::gateway::event::Action;
+pub use crate::gateway::event::Arrival;
+pub use crate::gateway::event::Event;
+pub use crate::gateway::event::Sent;
+pub use crate::gateway::status::ServiceStatus;
+pub use crate::gateway::status::Status;
+pub use crate::gateway::status::UpstreamStatus;
 
-/// What happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A request has arrived.
-    Arrive(Arrival),
-    /// Sending a request to an upstream ended.
-    Report {
-        /// The request.
-        ticket: Ticket,
-        /// How it ended.
-        sent: Sent,
-    },
-    /// The caller of a request is gone.
-    Cancel(Ticket),
-    /// A configuration came into force.
-    Adopt(Box<fleet::Fleet>),
-    /// The live entries of this zone changed; includes this entry.
-    Members(BTreeSet<EntryId>),
-    /// The VMs known to be leaving changed.
-    Leaving(BTreeSet<VmId>),
-    /// An upstream announced that it is leaving.
-    Announced(UpstreamId),
-    /// Time passed.
-    Tick,
-}
-
-/// What the embedder has to do.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Action {
-    /// Send the request to an upstream and report how that ended.
-    Send {
-        /// The request.
-        ticket: Ticket,
-        /// Upstream.
-        upstream: UpstreamId,
-        /// Its address.
-        address: SocketAddr,
-    },
-    /// Answer the caller with an error.
-    Fail {
-        /// The request.
-        ticket: Ticket,
-        /// Error kind.
-        kind: Kind,
-    },
-}
+/// Longest time between two events; the embedder sends [`Event::Tick`] at least this often.
+pub const TICK: Duration = Duration::from_millis(50);
 
 /// Decisions on the requests of one entry.
 #[derive(Debug)]
@@ -146,11 +83,30 @@
             Event::Adopt(fleet) => self.adopt(&fleet),
             Event::Members(entries) => self.members = entries.len().max(1),
             Event::Leaving(vms) => self.leaving = vms,
-            Event::Announced(_) | Event::Tick => {}
+            Event::Announced(_)
+            | Event::Rejoined(_)
+            | Event::Suspect(_)
+            | Event::Confirmed
+            | Event::Offers { .. }
+            | Event::Borrow { .. }
+            | Event::Loan { .. }
+            | Event::Return { .. }
+            | Event::Stop
+            | Event::Tick => {}
         }
         self.dispatch(now)
     }
 
+    /// Returns the idle slots to advertise to peers, by upstream.
+    pub fn offers(&self) -> BTreeMap<UpstreamId, u32> {
+        BTreeMap::new()
+    }
+
+    /// Returns the state and the counts for operators and metrics.
+    pub fn status(&self) -> Status {
+        Status::default()
+    }
+
     fn arrive(&mut self, arrival: Arrival, _now: Time) {
         let request = Request {
             arrival,
--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gateway;
 pub mod id;
 pub mod outcome;
+pub mod share;
 
 pub use crate::error::Category;
 pub use crate::error::Error;
