--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod ledger;
 pub mod outcome;
 pub mod scheduler;
+pub mod share;
 
 pub use crate::error::Category;
 pub use crate::error::Error;
