--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,9 +9,14 @@
 pub mod measure;
 pub mod options;
 pub mod owner;
+pub mod submit;
 
+mod apply;
+mod audit;
 mod check;
 mod exit;
+mod status;
+mod wave;
 
 pub use crate::exit::Exit;
 
@@ -47,6 +52,13 @@
     match command {
         Command::Check(options) => check::run(&options),
         Command::Import(options) => import::run(&options),
+        Command::Diff(options) => apply::diff(&options),
+        Command::Apply(options) => apply::run(&options),
+        Command::Status(options) => status::run(&options),
+        Command::Audit(options) => audit::run(&options),
+        Command::Wave(options) => wave::run(&options),
+        Command::Measure(options) => measure::command::run(&options),
+        Command::Demo(_) => Exit::Refused,
     }
 }
 
--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+pub(crate) mod command;
 mod plot;
 
 pub use crate::measure::plot::save;
--- /dev/null
+++ b/crates/cli/src/measure/command.rs
@@ -0,0 +1,59 @@
+//! Command `measure`.
+
+use crate::exit::Exit;
+use crate::measure::Report;
+use crate::measure::save;
+use crate::options::MeasureOptions;
+use crate::owner::Owner;
+
+/// Runs a measurement for one owner or both and prints its figures.
+pub(crate) fn run(options: &MeasureOptions) -> Exit {
+    let owners = options
+        .owner
+        .map_or(Owner::ALL.to_vec(), |owner| vec![owner]);
+    let mut reports = Vec::new();
+    for owner in owners {
+        match measure(&options.name, options.seed, owner) {
+            Some(report) => reports.push(report),
+            None => {
+                eprintln!(
+                    "wigeonhinge: unknown measurement {:?}; see --help",
+                    options.name
+                );
+                return Exit::BadInput;
+            }
+        }
+    }
+    for report in &reports {
+        if options.json {
+            println!("{}", serde_json::json!(report));
+        } else {
+            print!("{report}");
+        }
+    }
+    match options.plot.as_deref().map(|path| plot(&reports, path)) {
+        Some(Err(error)) => {
+            eprintln!("wigeonhinge: {error}");
+            Exit::Refused
+        }
+        _ => Exit::Done,
+    }
+}
+
+/// Runs a measurement; `None` when no measurement has the name.
+fn measure(_name: &str, _seed: u64, _owner: Owner) -> Option<Report> {
+    None
+}
+
+/// Saves the figures of all reports in one plot.
+fn plot(reports: &[Report], path: &str) -> eyre::Result<()> {
+    let mut joined = Report::default();
+    for report in reports {
+        for row in &report.rows {
+            let mut row = row.clone();
+            row.metric = format!("{}: {}", report.fleet, row.metric);
+            joined.push(row);
+        }
+    }
+    save(&joined, path)
+}
