Write the request decisions: share, admit, route, eject, retry

The first gateway scanned every request for each event, refused nothing early and knew no loans. The gateway now composes five modules that keep their candidates in order, so that an event looks at the requests and upstreams it concerns.

--- a/crates/wigeonhinge/src/gateway.rs
+++ b/crates/wigeonhinge/src/gateway.rs
@@ -4,8 +4,34 @@
 //! [`Action`]s that come back. A request is known by its [`Ticket`] from
 //! [`Event::Arrive`] until [`Action::Fail`], a final [`Event::Report`] or
 //! [`Event::Cancel`].
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use wigeonhinge::gateway::Action;
+//! use wigeonhinge::gateway::Arrival;
+//! use wigeonhinge::gateway::Event;
+//! use wigeonhinge::gateway::Gateway;
+//! use wigeonhinge::outcome::Kind;
+//!
+//! let mut gateway = Gateway::new("e1".into(), "a".into());
+//! let arrival = Arrival {
+//!     ticket: 1,
+//!     service: "crews".into(),
+//!     caller: "10.0.0.1".into(),
+//!     team: "".into(),
+//!     idempotent: true,
+//!     deadline: Duration::from_secs(10),
+//! };
+//! let actions = gateway.handle(Event::Arrive(arrival), Duration::ZERO);
+//! let kind = Kind::NotReady;
+//! assert_eq!(actions, [Action::Fail { ticket: 1, kind }]);
+//! ```
 
+mod adopt;
 mod event;
+mod flow;
+mod lend;
 mod status;
 
 use std::collections::BTreeMap;
@@ -13,9 +39,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use wigeonhinge_schema::fleet;
-
+use crate::admit::Admission;
+use crate::eject::Ejector;
+use crate::eject::Usable;
 use crate::id::EntryId;
+use crate::id::Index;
 use crate::id::ServiceId;
 use crate::id::Ticket;
 use crate::id::Time;
@@ -23,7 +51,10 @@
 use crate::id::VmId;
 use crate::id::ZoneId;
 use crate::outcome::Kind;
-use crate::outcome::Run;
+use crate::retry::Budget;
+use crate::route::Router;
+use crate::share::Loans;
+use crate::share::Shares;
 
 pub use crate::gateway::event::Action;
 pub use crate::gateway::event::Arrival;
@@ -36,169 +67,292 @@
 /// Longest time between two events; the embedder sends [`Event::Tick`] at least this often.
 pub const TICK: Duration = Duration::from_millis(50);
 
+/// Time between two sweeps over loans.
+const SWEEP: Duration = Duration::from_millis(10);
+
 /// Decisions on the requests of one entry.
 #[derive(Debug)]
 pub struct Gateway {
+    entry: EntryId,
     zone: ZoneId,
-    upstreams: BTreeMap<UpstreamId, Upstream>,
+    now: Time,
+    swept: Time,
+    configured: bool,
+    stopping: bool,
+    shares: Shares,
+    loans: Loans,
+    admission: Admission,
+    router: Router,
+    ejector: Ejector,
+    services: BTreeMap<Index, Service>,
+    upstreams: BTreeMap<Index, Upstream>,
+    service_names: BTreeMap<ServiceId, Index>,
+    upstream_names: BTreeMap<UpstreamId, Index>,
     requests: BTreeMap<Ticket, Request>,
+    cooling: BTreeSet<(Time, u64, Index)>,
     leaving: BTreeSet<VmId>,
-    members: usize,
+    announced: BTreeSet<UpstreamId>,
+    spare: Option<Index>,
+    numbers: Numbers,
+    dirty: BTreeSet<Index>,
+    actions: Vec<Action>,
+}
+
+/// Last numbers given.
+#[derive(Debug, Default)]
+struct Numbers {
+    index: Index,
+    order: u64,
+}
+
+#[derive(Debug)]
+struct Service {
+    name: ServiceId,
+    active: bool,
+    open: u32,
+    mean: Duration,
+    budget: Budget,
+    counts: ServiceStatus,
 }
 
 #[derive(Debug)]
 struct Upstream {
-    service: ServiceId,
+    name: UpstreamId,
+    service: Index,
     vm: VmId,
     address: SocketAddr,
-    slots: u32,
-    busy: u32,
     near: bool,
+    gone: bool,
+    limit: u32,
 }
 
 #[derive(Debug)]
 struct Request {
     arrival: Arrival,
-    upstream: Option<UpstreamId>,
+    service: Index,
+    order: u64,
+    running: Option<Running>,
+    tried: Vec<Index>,
+    sends: u32,
+    doubt: Option<Kind>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    upstream: Index,
+    since: Time,
 }
 
 impl Gateway {
     /// Creates the gateway of an entry, without any configuration.
-    pub fn new(_entry: EntryId, zone: ZoneId) -> Self {
+    pub fn new(entry: EntryId, zone: ZoneId) -> Self {
         Self {
+            shares: Shares::new(entry.clone()),
+            entry,
             zone,
+            now: Time::ZERO,
+            swept: Time::ZERO,
+            configured: false,
+            stopping: false,
+            loans: Loans::default(),
+            admission: Admission::default(),
+            router: Router::default(),
+            ejector: Ejector::default(),
+            services: BTreeMap::new(),
             upstreams: BTreeMap::new(),
+            service_names: BTreeMap::new(),
+            upstream_names: BTreeMap::new(),
             requests: BTreeMap::new(),
+            cooling: BTreeSet::new(),
             leaving: BTreeSet::new(),
-            members: 1,
+            announced: BTreeSet::new(),
+            spare: None,
+            numbers: Numbers::default(),
+            dirty: BTreeSet::new(),
+            actions: Vec::new(),
         }
     }
 
     /// Takes an event and returns what has to be done.
     pub fn handle(&mut self, event: Event, now: Time) -> Vec<Action> {
+        self.advance(now);
         match event {
-            Event::Arrive(arrival) => self.arrive(arrival, now),
-            Event::Report { ticket, sent } => self.report(ticket, sent, now),
-            Event::Cancel(ticket) => self.finish(ticket),
+            Event::Arrive(arrival) => self.arrive(arrival),
+            Event::Report { ticket, sent } => self.report(ticket, sent),
+            Event::Cancel(ticket) => self.cancel(ticket),
             Event::Adopt(fleet) => self.adopt(&fleet),
-            Event::Members(entries) => self.members = entries.len().max(1),
-            Event::Leaving(vms) => self.leaving = vms,
-            Event::Announced(_)
-            | Event::Rejoined(_)
-            | Event::Suspect(_)
-            | Event::Confirmed
-            | Event::Offers { .. }
-            | Event::Borrow { .. }
-            | Event::Loan { .. }
-            | Event::Return { .. }
-            | Event::Stop
-            | Event::Tick => {}
+            Event::Members(entries) => self.members(&entries),
+            Event::Leaving(vms) => self.leave(vms),
+            Event::Announced(upstream) => self.announce(upstream, true),
+            Event::Rejoined(upstream) => self.announce(upstream, false),
+            Event::Suspect(upstream) => self.suspect(&upstream),
+            Event::Confirmed => self.confirm(),
+            Event::Offers { entry, slots } => self.offered(&entry, &slots),
+            Event::Borrow {
+                entry,
+                upstream,
+                slots,
+            } => self.lend(entry, upstream, slots),
+            Event::Loan {
+                entry,
+                upstream,
+                slots,
+                loan,
+            } => self.borrowed(entry, &upstream, slots, loan),
+            Event::Return { entry, loan } => self.returned(&entry, loan),
+            Event::Stop => self.stopping = true,
+            Event::Tick => self.dirty.extend(self.services.keys()),
         }
-        self.dispatch(now)
+        self.fill();
+        std::mem::take(&mut self.actions)
     }
 
     /// Returns the idle slots to advertise to peers, by upstream.
     pub fn offers(&self) -> BTreeMap<UpstreamId, u32> {
-        BTreeMap::new()
+        let mut budgets: BTreeMap<Index, u32> = BTreeMap::new();
+        let mut offers = BTreeMap::new();
+        for (index, upstream) in &self.upstreams {
+            let budget = budgets
+                .entry(upstream.service)
+                .or_insert_with(|| self.lendable(upstream.service));
+            let slots = self.idle(*index).min(*budget);
+            *budget -= slots;
+            if slots > 0 {
+                offers.insert(upstream.name.clone(), slots);
+            }
+        }
+        offers
     }
 
     /// Returns the state and the counts for operators and metrics.
     pub fn status(&self) -> Status {
-        Status::default()
-    }
-
-    fn arrive(&mut self, arrival: Arrival, _now: Time) {
-        let request = Request {
-            arrival,
-            upstream: None,
-        };
-        self.requests.insert(request.arrival.ticket, request);
+        let mut running: BTreeMap<Index, usize> = BTreeMap::new();
+        for request in self.requests.values().filter(|it| it.running.is_some()) {
+            *running.entry(request.service).or_default() += 1;
+        }
+        let services = self.services.iter().map(|(index, service)| {
+            let mut status = service.counts.clone();
+            status.queued = self.admission.len(*index);
+            status.running = running.get(index).copied().unwrap_or(0);
+            (service.name.clone(), status)
+        });
+        let upstreams = self.upstreams.iter().map(|(index, upstream)| {
+            let sums = self.loans.sums(*index);
+            let status = UpstreamStatus {
+                allowed: self.router.allowed(*index),
+                running: self.router.busy(*index),
+                borrowed: sums.open + sums.closing,
+                lent: sums.lent,
+                leaving: self.is_leaving(upstream),
+                ejected: self.ejector.usable(*index) != Usable::Fully,
+            };
+            (upstream.name.clone(), status)
+        });
+        Status {
+            configured: self.configured,
+            holding: self.shares.holding(),
+            stopping: self.stopping,
+            requests: self.requests.len(),
+            services: services.collect(),
+            upstreams: upstreams.collect(),
+        }
     }
 
-    fn report(&mut self, ticket: Ticket, sent: Sent, _now: Time) {
-        match sent {
-            Sent::Failed(kind) if kind.answer().run == Run::NotRun => {
-                self.finish(ticket);
+    /// Brings everything that depends on time up to `now`.
+    fn advance(&mut self, now: Time) {
+        self.now = self.now.max(now);
+        if self.shares.observe(self.now) {
+            self.refresh_all();
+        }
+        for index in self.ejector.tick(self.now) {
+            self.refresh(index);
+        }
+        if self.swept + SWEEP <= self.now {
+            self.swept = self.now;
+            for index in self.loans.expire(self.now) {
+                self.refresh(index);
+            }
+        }
+        while let Some(&(until, _, index)) = self.cooling.first() {
+            if until > self.now {
+                break;
             }
-            Sent::Answered { .. } | Sent::Failed(_) => self.finish(ticket),
+            self.cooling.pop_first();
+            self.free(index);
         }
+        for ticket in self.admission.expire(self.now) {
+            self.fail(ticket, Kind::DeadlineBeforeSend);
+        }
+    }
+
+    fn members(&mut self, entries: &BTreeSet<EntryId>) {
+        self.shares.members(entries, self.now);
+        self.refresh_all();
+    }
+
+    fn confirm(&mut self) {
+        self.shares.confirm();
+        self.refresh_all();
     }
 
-    fn finish(&mut self, ticket: Ticket) {
-        let upstream = self
-            .requests
-            .remove(&ticket)
-            .and_then(|request| request.upstream);
-        if let Some(state) = upstream.and_then(|name| self.upstreams.get_mut(&name)) {
-            state.busy = state.busy.saturating_sub(1);
+    fn suspect(&mut self, upstream: &UpstreamId) {
+        let index = self.upstream_names.get(upstream).copied();
+        if let Some(index) = index.filter(|index| self.ejector.suspect(*index, self.now)) {
+            self.refresh(index);
         }
     }
 
-    fn adopt(&mut self, fleet: &fleet::Fleet) {
-        let zones: BTreeMap<&str, &str> = fleet
-            .inventory
-            .iter()
-            .map(|vm| (vm.name.as_str(), vm.zone.as_str()))
-            .collect();
-        let busy: BTreeMap<UpstreamId, u32> = self
-            .upstreams
-            .iter()
-            .map(|(name, state)| (name.clone(), state.busy))
-            .collect();
-        self.upstreams.clear();
-        for upstream in &fleet.upstreams {
-            let Ok(address) = upstream.address.parse() else {
-                continue;
-            };
-            let name = UpstreamId::from(&upstream.name);
-            let state = Upstream {
-                service: ServiceId::from(&upstream.service),
-                vm: VmId::from(&upstream.vm),
-                address,
-                slots: upstream.slots,
-                busy: busy.get(&name).copied().unwrap_or(0),
-                near: zones.get(upstream.vm.as_str()) == Some(&self.zone.as_str()),
-            };
-            self.upstreams.insert(name, state);
+    fn refresh_all(&mut self) {
+        let indices: Vec<Index> = self.upstreams.keys().copied().collect();
+        for index in indices {
+            self.refresh(index);
         }
     }
 
-    fn dispatch(&mut self, now: Time) -> Vec<Action> {
-        let waiting: Vec<Ticket> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| request.upstream.is_none())
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        waiting
-            .into_iter()
-            .filter_map(|ticket| self.step(ticket, now))
-            .collect()
+    /// Recomputes what may run at an upstream, after anything that it depends on changed.
+    fn refresh(&mut self, index: Index) {
+        let Some(upstream) = self.upstreams.get(&index) else {
+            return;
+        };
+        let allowed = match self.ejector.usable(index) {
+            _ if self.is_leaving(upstream) => 0,
+            Usable::Fully => self.granted(index),
+            Usable::Trial => self.granted(index).min(1),
+            Usable::No => 0,
+        };
+        self.dirty.insert(upstream.service);
+        self.router.set(index, allowed);
+        self.settle(index);
+        self.limit(index);
     }
 
-    fn step(&mut self, ticket: Ticket, now: Time) -> Option<Action> {
-        let request = self.requests.get_mut(&ticket)?;
-        if request.arrival.deadline <= now {
-            self.requests.remove(&ticket);
-            return Some(Action::Fail {
-                ticket,
-                kind: Kind::DeadlineBeforeSend,
+    /// Returns the slots of an upstream that are at this entry's disposal.
+    fn granted(&self, index: Index) -> u32 {
+        let sums = self.loans.sums(index);
+        let own = self.shares.allowed(index, self.now);
+        own.saturating_sub(sums.lent) + sums.open
+    }
+
+    /// Announces the limit of connections if it changed; a loan carries one connection a slot.
+    fn limit(&mut self, index: Index) {
+        let sums = self.loans.sums(index);
+        let own = self.shares.connections(index);
+        let limit = own.saturating_sub(sums.lent) + sums.open + sums.closing;
+        let Some(upstream) = self.upstreams.get_mut(&index) else {
+            return;
+        };
+        if upstream.limit != limit {
+            upstream.limit = limit;
+            self.actions.push(Action::Connections {
+                upstream: upstream.name.clone(),
+                limit,
             });
         }
-        let members = u32::try_from(self.members).unwrap_or(u32::MAX);
-        let (name, state) = self
-            .upstreams
-            .iter_mut()
-            .filter(|(_, state)| state.near && state.service == request.arrival.service)
-            .filter(|(_, state)| !self.leaving.contains(&state.vm))
-            .filter(|(_, state)| state.busy < state.slots / members)
-            .min_by_key(|(_, state)| state.busy)?;
-        state.busy += 1;
-        request.upstream = Some(name.clone());
-        Some(Action::Send {
-            ticket,
-            upstream: name.clone(),
-            address: state.address,
-        })
+    }
+
+    fn is_leaving(&self, upstream: &Upstream) -> bool {
+        upstream.gone
+            || self.leaving.contains(&upstream.vm)
+            || self.announced.contains(&upstream.name)
     }
 }
--- a/crates/wigeonhinge/src/id.rs
+++ b/crates/wigeonhinge/src/id.rs
@@ -48,3 +48,6 @@
 
 /// Number of a request within one entry.
 pub type Ticket = u64;
+
+/// Number of an upstream or of a service within one entry.
+pub type Index = u32;
--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`config`] adopts configurations and resolves edits.
 //! - [`gateway`] decides on requests: admission, choice of upstream, retries.
+//!   It composes [`share`], [`admit`], [`route`], [`eject`] and [`retry`].
 //! - [`fleet`] checks a fleet description.
 //! - [`ledger`] records which pool owns a VM and guards budgets.
 //! - [`controller`] drives maintenance, moves and inventory edits of a region.
@@ -14,6 +15,8 @@
 
 pub mod config;
 pub mod controller;
+pub mod admit;
+pub mod eject;
 pub mod error;
 pub mod fleet;
 pub mod gateway;
@@ -21,6 +24,8 @@
 pub mod ledger;
 pub mod outcome;
 pub mod scheduler;
+pub mod retry;
+pub mod route;
 pub mod share;
 
 pub use crate::error::Category;
