Add the request path of the entry daemon and its stand-ins

A request goes from a listener through the flow to the dispatch thread and over an upstream connection. The stand-in upstream and caller do not use the daemon's HTTP library, so that a fault in it cannot hide from the tests.

--- /dev/null
+++ b/crates/daemon/src/flow.rs
@@ -0,0 +1,186 @@
+//! One request from accept to answer.
+
+pub(crate) mod headers;
+mod pending;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use compact_str::format_compact;
+use flume::Sender;
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use wigeonhinge::gateway::Arrival;
+use wigeonhinge::gateway::Sent;
+use wigeonhinge::id::CallerId;
+use wigeonhinge::id::Ticket;
+use wigeonhinge::outcome::Kind;
+use wigeonhinge::outcome::Run;
+
+use crate::dispatch::Desk;
+use crate::dispatch::Message;
+use crate::dispatch::Replies;
+use crate::dispatch::Reply;
+use crate::exchange::Pool;
+use crate::exchange::Sending;
+use crate::flow::headers::Call;
+use crate::flow::pending::Pending;
+use crate::settings::Limits;
+
+/// Time past a request's deadline for which the dispatch thread may still decide.
+const DECISION: Duration = Duration::from_millis(250);
+
+/// Serves the requests of one I/O thread.
+pub(crate) struct Flow {
+    thread: usize,
+    desk: Desk,
+    pool: Rc<Pool>,
+    limits: Limits,
+    waiting: RefCell<BTreeMap<Ticket, Sender<Reply>>>,
+}
+
+impl Flow {
+    pub(crate) fn new(thread: usize, desk: Desk, pool: Rc<Pool>, limits: Limits) -> Rc<Self> {
+        Rc::new(Self {
+            thread,
+            desk,
+            pool,
+            limits,
+            waiting: RefCell::default(),
+        })
+    }
+
+    /// Passes the replies of the dispatch thread on to the requests that wait for them.
+    pub(crate) async fn route(self: Rc<Self>, replies: Replies) {
+        while let Ok((ticket, reply)) = replies.recv_async().await {
+            let waiting = self.waiting.borrow();
+            let delivered = waiting
+                .get(&ticket)
+                .is_some_and(|waiter| waiter.try_send(reply).is_ok());
+            drop(waiting);
+            if !delivered {
+                self.desk.tell(Message::Cancel(ticket));
+            }
+        }
+    }
+
+    /// Serves one request; `began` is when its first byte arrived.
+    pub(crate) async fn serve(
+        &self,
+        request: Request<Incoming>,
+        caller: IpAddr,
+        began: Instant,
+    ) -> Response<Bytes> {
+        match self.handle(request, caller, began).await {
+            Ok(answer) => answer,
+            Err(kind) => headers::refusal(kind),
+        }
+    }
+
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        caller: IpAddr,
+        began: Instant,
+    ) -> Result<Response<Bytes>, Kind> {
+        let (parts, body) = request.into_parts();
+        let call = headers::classify(parts)?;
+        let body = self.receive(body, began + self.limits.receive).await?;
+        let deadline = Instant::now() + call.deadline;
+        let mut pending = self.admit(&call, caller, deadline)?;
+        let mut written = None;
+        loop {
+            let target = match pending.decision().await {
+                Ok(target) => target,
+                Err(kind) => return Err(truthful(kind, written)),
+            };
+            let id = format_compact!("{}-{}", self.desk.entry(), pending.ticket);
+            let sending = Sending {
+                id: &id,
+                request: headers::forward(&call, &id, deadline),
+                body: body.clone(),
+                service: &call.service,
+                deadline,
+            };
+            let sent = self.pool.exchange(&target, sending).await;
+            if sent.leaving {
+                self.desk.tell(Message::Announced(target.upstream));
+            }
+            match sent.result {
+                Ok(answer) => {
+                    let failed = answer.status().is_server_error();
+                    pending.answered(Sent::Answered { failed });
+                    return Ok(headers::answer(answer, &id));
+                }
+                Err(kind) => {
+                    if kind.answer().run != Run::NotRun {
+                        written = Some(kind);
+                    }
+                    pending.failed(kind);
+                }
+            }
+        }
+    }
+
+    /// Reads the whole body before the request takes part in admission.
+    async fn receive(&self, body: Incoming, due: Instant) -> Result<Bytes, Kind> {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let limit = self.limits.body_bytes;
+        if body.size_hint().lower() > limit as u64 {
+            return Err(Kind::BodyTooLarge);
+        }
+        compio::time::timeout_at(due, collect(body, limit))
+            .await
+            .unwrap_or(Err(Kind::SlowSender))
+    }
+
+    fn admit(&self, call: &Call, caller: IpAddr, deadline: Instant) -> Result<Pending<'_>, Kind> {
+        let arrival = Arrival {
+            ticket: self.desk.ticket(),
+            service: call.service.clone(),
+            caller: CallerId::from(caller.to_string()),
+            team: call.team.clone(),
+            idempotent: call.idempotent,
+            deadline: self.desk.time(deadline),
+        };
+        let pending = Pending::new(self, arrival.ticket, deadline + DECISION);
+        if !self.desk.arrive(self.thread, arrival) {
+            return Err(Kind::QueueFull);
+        }
+        Ok(pending)
+    }
+}
+
+/// Returns the kind that the caller gets after an earlier attempt may have run.
+fn truthful(kind: Kind, written: Option<Kind>) -> Kind {
+    match written {
+        Some(earlier) if kind.answer().run == Run::NotRun => earlier,
+        _ => kind,
+    }
+}
+
+async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, Kind> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Kind::BadRequest)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > limit {
+            return Err(Kind::BodyTooLarge);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
--- /dev/null
+++ b/crates/daemon/src/flow/pending.rs
@@ -0,0 +1,71 @@
+//! A request that the dispatch thread knows.
+
+use std::time::Instant;
+
+use flume::Receiver;
+use wigeonhinge::gateway::Sent;
+use wigeonhinge::id::Ticket;
+use wigeonhinge::outcome::Kind;
+
+use crate::dispatch::Message;
+use crate::dispatch::Reply;
+use crate::dispatch::Target;
+use crate::flow::Flow;
+
+/// A request between its arrival and its last report; cancelled if dropped before.
+pub(super) struct Pending<'a> {
+    pub(super) ticket: Ticket,
+    flow: &'a Flow,
+    replies: Receiver<Reply>,
+    due: Instant,
+    open: bool,
+}
+
+impl<'a> Pending<'a> {
+    pub(super) fn new(flow: &'a Flow, ticket: Ticket, due: Instant) -> Self {
+        let (waiter, replies) = flume::bounded(1);
+        flow.waiting.borrow_mut().insert(ticket, waiter);
+        Self {
+            ticket,
+            flow,
+            replies,
+            due,
+            open: true,
+        }
+    }
+
+    /// Waits for the decision of the dispatch thread.
+    pub(super) async fn decision(&mut self) -> Result<Target, Kind> {
+        match compio::time::timeout_at(self.due, self.replies.recv_async()).await {
+            Ok(Ok(Reply::Grant(target))) => Ok(target),
+            Ok(Ok(Reply::Refuse(kind))) => {
+                self.open = false;
+                Err(kind)
+            }
+            Ok(Err(_)) | Err(_) => Err(Kind::DeadlineBeforeSend),
+        }
+    }
+
+    /// Reports a failure; a decision follows.
+    pub(super) fn failed(&self, kind: Kind) {
+        let ticket = self.ticket;
+        let sent = Sent::Failed(kind);
+        self.flow.desk.tell(Message::Report { ticket, sent });
+    }
+
+    /// Reports the answer; the request is done.
+    pub(super) fn answered(&mut self, sent: Sent) {
+        let ticket = self.ticket;
+        self.open = false;
+        self.flow.desk.tell(Message::Report { ticket, sent });
+    }
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        self.flow.waiting.borrow_mut().remove(&self.ticket);
+        if self.open {
+            self.flow.desk.tell(Message::Cancel(self.ticket));
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,3 +1,22 @@
 //! The entry daemon.
 
 pub mod platform;
+//! The entry daemon of wigeonhinge.
+//!
+//! [`Daemon::spawn`](daemon::Daemon::spawn) starts an entry from its
+//! [`Settings`](settings::Settings) and returns a running handle. Callers'
+//! requests go through `listen`, `flow`, `dispatch` and `exchange`; the control
+//! plane reaches the dispatch thread through [`Control`](dispatch::Control).
+
+pub mod daemon;
+pub mod dispatch;
+pub mod settings;
+
+mod exchange;
+mod flow;
+mod listen;
+
+pub use crate::daemon::Daemon;
+pub use crate::daemon::Source;
+pub use crate::dispatch::Control;
+pub use crate::settings::Settings;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,3 +7,14 @@
 pub mod store;
 pub mod vms;
 pub mod workers;
+//! Stand-ins for the systems around an entry daemon.
+//!
+//! - [`upstream`] answers requests, with the faults that a test asks for.
+//! - [`caller`] sends a seeded load and compares the answers with the ledgers.
+//! - [`fleet`] builds small fleets over such upstreams.
+
+pub mod caller;
+pub mod fleet;
+pub mod upstream;
+
+mod wire;
