--- a/crates/wigeonhinge/src/config.rs
+++ b/crates/wigeonhinge/src/config.rs
@@ -144,7 +144,8 @@
         if self.resolve(current) != Resolution::Open || current.revision != self.base {
             return Err(Error::conflict("the configuration"));
         }
-        let revision = self.base + 1;
+        let revision = self.base.checked_add(1);
+        let revision = revision.ok_or_else(|| Error::refused("no revision is left"))?;
         let record = EditRecord {
             id: self.id.to_string(),
             revision,
--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -4,17 +4,23 @@
 //! the current [`Time`] and a seed where chance enters, and gives back actions
 //! for the embedder to carry out. `wigeonhinged` is one such embedder.
 //!
+//! - [`audit`] keeps the audit trail.
 //! - [`config`] adopts configurations and resolves edits.
 //! - [`gateway`] decides on requests: admission, choice of upstream, retries.
 //! - [`fleet`] checks a fleet description.
+//! - [`lease`], [`role`] and [`membership`] divide duties among the live entries.
 //! - [`outcome`] lists the error kinds of requests and their answers.
 
+pub mod audit;
 pub mod config;
 pub mod error;
 pub mod fleet;
 pub mod gateway;
 pub mod id;
+pub mod lease;
+pub mod membership;
 pub mod outcome;
+pub mod role;
 
 pub use crate::error::Category;
 pub use crate::error::Error;
--- /dev/null
+++ b/crates/wigeonhinge/src/role.rs
@@ -0,0 +1,57 @@
+//! Which entry asks for which role first.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use crate::id::EntryId;
+
+/// Delay between one candidate and the next.
+pub const STEP: Duration = Duration::from_millis(500);
+
+/// Returns the entries in the order in which they ask for a role.
+///
+/// The order is by rendezvous hashing: every entry that knows the same entries
+/// computes the same order, and an entry that comes or goes leaves the order of
+/// the others unchanged.
+///
+/// ```
+/// use wigeonhinge::id::EntryId;
+/// use wigeonhinge::role::rank;
+///
+/// let entries = ["a", "b", "c"].map(EntryId::from);
+/// let all = rank(&entries, "fleet/north");
+/// let rest = rank(all.iter().skip(1), "fleet/north");
+/// assert_eq!(rest, all[1..]);
+/// ```
+pub fn rank<'a>(entries: impl IntoIterator<Item = &'a EntryId>, role: &str) -> Vec<EntryId> {
+    let mut ranked: Vec<EntryId> = entries.into_iter().cloned().collect();
+    ranked.sort_by_cached_key(|entry| (Reverse(score(entry, role)), entry.clone()));
+    ranked
+}
+
+/// Returns how long a role has to be without a holder before `own` asks for it.
+///
+/// `None` if `own` is not among the entries.
+pub fn delay<'a>(
+    entries: impl IntoIterator<Item = &'a EntryId>,
+    role: &str,
+    own: &EntryId,
+) -> Option<Duration> {
+    let ranked = rank(entries, role);
+    let place = ranked.iter().position(|entry| entry == own)?;
+    Some(STEP * u32::try_from(place).unwrap_or(u32::MAX))
+}
+
+/// Hashes a pair with FNV-1a and the finalizer of MurmurHash3.
+///
+/// The hash is part of the protocol between entries of different builds, so it
+/// does not rely on the hasher of the standard library.
+fn score(entry: &str, role: &str) -> u64 {
+    let bytes = entry.bytes().chain([0]).chain(role.bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
