--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -4,6 +4,7 @@
 //! the current [`Time`] and a seed where chance enters, and gives back actions
 //! for the embedder to carry out. `wigeonhinged` is one such embedder.
 //!
+//! - [`audit`] keeps the audit trail.
 //! - [`config`] adopts configurations and resolves edits.
 //! - [`gateway`] decides on requests: admission, choice of upstream, retries.
 //!   It composes [`share`], [`admit`], [`route`], [`eject`] and [`retry`].
@@ -11,8 +12,10 @@
 //! - [`ledger`] records which pool owns a VM and guards budgets.
 //! - [`controller`] drives maintenance, moves and inventory edits of a region.
 //! - [`scheduler`] decides on the jobs of a pool.
+//! - [`lease`], [`role`] and [`membership`] divide duties among the live entries.
 //! - [`outcome`] lists the error kinds of requests and their answers.
 
+pub mod audit;
 pub mod config;
 pub mod controller;
 pub mod admit;
@@ -27,6 +30,10 @@
 pub mod retry;
 pub mod route;
 pub mod share;
+pub mod lease;
+pub mod membership;
+pub mod outcome;
+pub mod role;
 
 pub use crate::error::Category;
 pub use crate::error::Error;
