Add the fleet controller, wave planning and the reserve

The controller decides from the confirmed ledger alone. A new holder writes its fence before it gives an order, because the ledger that it read may be behind the last write of the earlier holder.

--- a/crates/wigeonhinge/src/controller.rs
+++ b/crates/wigeonhinge/src/controller.rs
@@ -5,12 +5,20 @@
 //! the confirmed ledger alone, so that a new holder resumes any step from the
 //! document: an order is given only for a phase that the store has confirmed.
 
+mod advance;
+mod draft;
+mod facts;
+mod orders;
+
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use wigeonhinge_schema::audit::Record;
 use wigeonhinge_schema::fleet::Fleet;
 
+use crate::controller::draft::Draft;
+use crate::controller::facts::Facts;
 use crate::id::Fence;
 use crate::id::Revision;
 use crate::id::Time;
@@ -63,7 +71,7 @@
 /// Report of a worker.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Worker {
-    /// Time of the report, since the Unix epoch.
+    /// Time, since the Unix epoch, at which the poll that returned the report was sent.
     pub at: Time,
     /// Whether the worker passes its health checks.
     pub healthy: bool,
@@ -73,6 +81,8 @@
     pub tasks: u32,
     /// Boot number; differs after each reboot.
     pub boot: u64,
+    /// Step of the last order that the worker accepted; 0 for none since its boot.
+    pub step: u64,
 }
 
 /// A change that someone other than the controller asks for.
@@ -117,7 +127,8 @@
     pub action: Action,
     /// Fence of the role; the worker rejects one lower than the highest it has seen.
     pub fence: Fence,
-    /// Step of the VM in the ledger; tells a repeated order from a new one.
+    /// Step of the VM in the ledger; the worker rejects one lower than the highest it has seen, so
+    /// that a late copy of an order has no effect.
     pub step: u64,
 }
 
@@ -139,23 +150,84 @@
 pub struct Controller {
     region: CompactString,
     entry: CompactString,
+    timing: Timing,
+    sent: BTreeMap<VmId, (u64, Time)>,
+}
+
+/// Times given to the steps.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Timing {
+    /// Time given to a drain; doubles after each drain of the VM that passed it.
+    pub drain: Duration,
+    /// Time given to a reboot until the worker is healthy.
+    pub reboot: Duration,
+    /// Time after which an order without an effect is given again.
+    pub resend: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            drain: Duration::from_secs(60),
+            reboot: Duration::from_secs(900),
+            resend: Duration::from_secs(2),
+        }
+    }
 }
 
 impl Controller {
     /// Returns a controller for a region that acts in the name of an entry.
-    pub fn new(region: &str, entry: &str) -> Self {
+    pub fn new(region: &str, entry: &str, timing: Timing) -> Self {
         Self {
             region: region.into(),
             entry: entry.into(),
+            timing,
+            sent: BTreeMap::new(),
         }
     }
 
     /// Decides on the next ledger value and on the orders for workers.
     ///
     /// Call it on every tick and after every confirmed write. After a refused write or a lost
-    /// answer, read the ledger again and call it with what the store holds.
-    pub fn step(&self, input: &Input<'_>) -> Output {
-        let _ = (&self.region, &self.entry, input);
-        Output::default()
+    /// answer, read the ledger again and call it with what the store holds. Without a valid lease
+    /// or without the store nothing is given back: no disruption starts, and what is under way
+    /// stays as it is.
+    pub fn step(&mut self, input: &Input<'_>) -> Output {
+        let (Some(fence), Some((version, ledger))) = (input.fence, input.ledger) else {
+            return Output::held(input.requests, "no valid lease or no store");
+        };
+        if fence < ledger.document().fence {
+            return Output::held(input.requests, "a later holder of the role has written");
+        }
+        let facts = Facts::new(input, ledger);
+        let orders = self.orders(ledger, fence, &facts);
+        let mut draft = Draft::new(version, ledger, fence, input.now, &self.entry);
+        draft.follow(input);
+        if !facts.blind {
+            self.advance(&mut draft, &facts);
+        }
+        let refused = draft.answer(input.requests, &facts);
+        draft.plan(input.fleet, &facts);
+        let write = draft.finish();
+        Output {
+            write,
+            orders,
+            refused,
+        }
+    }
+
+    /// Returns the region.
+    pub fn region(&self) -> &str {
+        &self.region
+    }
+}
+
+impl Output {
+    fn held(requests: &[Request], reason: &str) -> Self {
+        let refused = requests.iter().map(|_| Some(reason.into())).collect();
+        Self {
+            refused,
+            ..Self::default()
+        }
     }
 }
--- a/crates/wigeonhinge/src/ledger.rs
+++ b/crates/wigeonhinge/src/ledger.rs
@@ -103,16 +103,10 @@
     ///
     /// Refuses all changes when one of them is refused, as in [`Ledger::apply`].
     pub fn apply_all(&self, changes: &[Change], fence: Fence, now: Time) -> Result<Self, Refusal> {
-        if fence < self.doc.fence {
-            return Err(Refusal::Fence {
-                held: self.doc.fence,
-                given: fence,
-            });
-        }
         let mut next = self.clone();
-        next.doc.fence = fence;
+        next.claim(fence)?;
         for change in changes {
-            next.change(change, fence, now)?;
+            next.amend(change, fence, now)?;
         }
         Ok(next)
     }
@@ -144,6 +138,12 @@
             .is_some_and(|wave| matches!(wave.state(), WaveState::Running | WaveState::Paused))
     }
 
+    /// Returns whether a wave is running.
+    pub fn wave_running(&self) -> bool {
+        self.wave()
+            .is_some_and(|wave| wave.state() == WaveState::Running)
+    }
+
     /// Returns the counts of every pool.
     pub fn counts(&self) -> BTreeMap<PoolId, Count> {
         let mut counts: BTreeMap<PoolId, Count> = self
@@ -170,6 +170,27 @@
         Some(count)
     }
 
+    /// Records the fence of a writer.
+    pub(crate) fn claim(&mut self, fence: Fence) -> Result<(), Refusal> {
+        let held = self.doc.fence;
+        if fence < held {
+            return Err(Refusal::Fence { held, given: fence });
+        }
+        self.doc.fence = fence;
+        Ok(())
+    }
+
+    /// Applies a change in place; a refused change leaves the ledger as it was.
+    pub(crate) fn amend(
+        &mut self,
+        change: &Change,
+        fence: Fence,
+        now: Time,
+    ) -> Result<(), Refusal> {
+        self.claim(fence)?;
+        self.change(change, fence, now)
+    }
+
     fn find(&self, name: &str) -> Option<usize> {
         self.doc
             .vms
@@ -283,8 +304,15 @@
 
     fn change_wave(&mut self, change: &WaveChange, now: Time) -> Result<(), Refusal> {
         let now_ms = millis(now);
-        if let WaveChange::Start { id, author } = change {
-            return self.start_wave(id, author, now_ms);
+        if let WaveChange::Start { id, author, before } = change {
+            let wave = Wave {
+                id: id.clone(),
+                author: author.clone(),
+                started_ms: now_ms,
+                before_ms: millis(*before).min(now_ms),
+                ..Wave::default()
+            };
+            return self.start_wave(wave);
         }
         let expected = match change {
             WaveChange::Pause { .. } | WaveChange::Finish { .. } => "running",
@@ -315,17 +343,12 @@
         Ok(())
     }
 
-    fn start_wave(&mut self, id: &str, author: &str, now_ms: u64) -> Result<(), Refusal> {
+    fn start_wave(&mut self, wave: Wave) -> Result<(), Refusal> {
         if self.wave_open() {
             let expected = "done or aborted";
             return Err(Refusal::Wave { expected });
         }
-        self.doc.wave = Some(Wave {
-            id: id.into(),
-            author: author.into(),
-            started_ms: now_ms,
-            ..Wave::default()
-        });
+        self.doc.wave = Some(wave);
         for vm in &mut self.doc.vms {
             vm.skips = 0;
         }
@@ -385,7 +408,7 @@
         (Change::Cordon { .. }, Phase::Active) => Phase::Cordoned,
         (Change::Drain { .. }, Phase::Cordoned) => Phase::Draining,
         (Change::Drained { .. }, Phase::Draining) => Phase::Drained,
-        (Change::Reboot { .. }, Phase::Drained) => Phase::Rebooting,
+        (Change::Reboot { .. }, Phase::Drained | Phase::Rebooting) => Phase::Rebooting,
         (Change::Move { .. }, Phase::Drained) => Phase::Moving,
         (Change::Returned { skipped: false, .. }, Phase::Cordoned | Phase::Drained) => {
             Phase::Returning
@@ -415,6 +438,7 @@
         } => vm.target = target.to_string(),
         Change::Drain { deadline, .. } => vm.deadline_ms = millis(*deadline),
         Change::Reboot { boot, deadline, .. } => {
+            vm.skips += u32::from(vm.phase() == Phase::Rebooting);
             vm.boot = *boot;
             vm.deadline_ms = millis(*deadline);
         }
--- a/crates/wigeonhinge/src/ledger/change.rs
+++ b/crates/wigeonhinge/src/ledger/change.rs
@@ -34,7 +34,7 @@
         /// VM.
         vm: VmId,
     },
-    /// `Drained → Rebooting`.
+    /// `Drained → Rebooting`, and once more from `Rebooting` for a worker that did not reboot.
     Reboot {
         /// VM.
         vm: VmId,
@@ -108,8 +108,10 @@
         id: String,
         /// Who starts it.
         author: String,
+        /// VMs last maintained before this time belong to the wave; at most the present.
+        before: Time,
     },
-    /// Stops taking further VMs; steps under way go on.
+    /// Stops the wave; VMs that have not begun to reboot return.
     Pause {
         /// Reason.
         reason: String,
--- a/crates/wigeonhinge/src/ledger/inventory.rs
+++ b/crates/wigeonhinge/src/ledger/inventory.rs
@@ -75,6 +75,8 @@
                 since_ms: now_ms,
                 maintained_ms: now_ms,
                 fence,
+                // Above the steps of an earlier VM of the same name, which its worker may remember.
+                step: now_ms,
                 ..VmState::default()
             };
             state.set_phase(Phase::Down);
--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`outcome`] lists the error kinds of requests and their answers.
 
 pub mod config;
+pub mod buffer;
 pub mod controller;
 pub mod error;
 pub mod fleet;
@@ -22,6 +23,7 @@
 pub mod outcome;
 pub mod scheduler;
 pub mod share;
+pub mod wave;
 
 pub use crate::error::Category;
 pub use crate::error::Error;
