--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub mod audit;
 pub mod config;
+pub mod buffer;
 pub mod controller;
 pub mod admit;
 pub mod eject;
@@ -34,6 +35,7 @@
 pub mod membership;
 pub mod outcome;
 pub mod role;
+pub mod wave;
 
 pub use crate::error::Category;
 pub use crate::error::Error;
