--- a/crates/cli/src/wave.rs
+++ b/crates/cli/src/wave.rs
@@ -111,6 +111,7 @@
         WaveAction::Start => Some(WaveChange::Start {
             id: random_id().to_string(),
             author: author().to_string(),
+            before: Duration::from_millis(now_ms()),
         }),
         WaveAction::Pause => Some(WaveChange::Pause { reason }),
         WaveAction::Resume => Some(WaveChange::Resume),
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -248,6 +248,7 @@
         let acted = actions.iter().any(|action| match action {
             Action::Send { ticket: other, .. } => *other == ticket,
             Action::Fail { ticket: other, .. } => *other == ticket,
+            _ => false,
         });
         match sent {
             Sent::Answered { .. } => {
@@ -301,6 +302,10 @@
                     self.reply(ticket, Reply::Grant(target));
                 }
                 Action::Fail { ticket, kind } => self.reply(ticket, Reply::Refuse(kind)),
+                Action::Connections { .. }
+                | Action::Borrow { .. }
+                | Action::Loan { .. }
+                | Action::Return { .. } => {}
             }
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,15 +1,14 @@
-//! The entry daemon.
-
-pub mod platform;
 //! The entry daemon of wigeonhinge.
 //!
 //! [`Daemon::spawn`](daemon::Daemon::spawn) starts an entry from its
 //! [`Settings`](settings::Settings) and returns a running handle. Callers'
 //! requests go through `listen`, `flow`, `dispatch` and `exchange`; the control
-//! plane reaches the dispatch thread through [`Control`](dispatch::Control).
+//! plane reaches the dispatch thread through [`Control`](dispatch::Control) and
+//! the platform through [`platform`].
 
 pub mod daemon;
 pub mod dispatch;
+pub mod platform;
 pub mod settings;
 
 mod exchange;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,20 +1,17 @@
 //! Stand-ins of the outside systems, for tests and the demonstration.
 //!
-//! [`platform`] serves the store, the VM list and the workers over HTTP on
-//! loopback, with faults that a test switches on.
-
-pub mod platform;
-pub mod store;
-pub mod vms;
-pub mod workers;
-//! Stand-ins for the systems around an entry daemon.
-//!
+//! - [`platform`] serves the store, the VM list and the workers over HTTP on
+//!   loopback, with faults that a test switches on.
 //! - [`upstream`] answers requests, with the faults that a test asks for.
 //! - [`caller`] sends a seeded load and compares the answers with the ledgers.
 //! - [`fleet`] builds small fleets over such upstreams.
 
 pub mod caller;
 pub mod fleet;
+pub mod platform;
+pub mod store;
 pub mod upstream;
+pub mod vms;
+pub mod workers;
 
 mod wire;
