Keep fences of roles apart and order worker commands by step

Fences of different roles cannot be compared: a task start by a jobs role could have blocked a reboot by the fleet role. Workers now keep the highest fence of each role, refuse a step below the highest seen and report their boot number, so that a late copy of a reboot order has no effect.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -103,7 +103,7 @@
     Gone,
 }
 
-/// The workers of a pool.
+/// Reports of workers.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
 pub struct Workers {
     /// When the report was made, in milliseconds since the Unix epoch.
@@ -119,8 +119,10 @@
     pub vm: CompactString,
     /// State.
     pub state: WorkerState,
-    /// Highest fence that the worker has seen.
-    pub fence: Fence,
+    /// Boot number; differs after each reboot.
+    pub boot: u64,
+    /// Step of the last worker command that it accepted; 0 for none since its boot.
+    pub step: u64,
     /// Tasks, also those that ended since the last start.
     pub tasks: Vec<Task>,
 }
@@ -192,7 +194,9 @@
 pub struct Start {
     /// Identifier.
     pub id: CompactString,
-    /// Fence of the one who starts it.
+    /// Role of the one who starts it.
+    pub role: CompactString,
+    /// Fence of that role.
     pub fence: Fence,
     /// Milliseconds that the task may run without being renewed.
     pub lease_ms: u64,
@@ -204,6 +208,18 @@
     pub accelerators: u32,
 }
 
+/// Role in whose name a command is given, and its fence.
+///
+/// A worker keeps the highest fence of each role apart, because the fences of
+/// different roles cannot be compared.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Authority<'a> {
+    /// Role, such as `jobs/crews`.
+    pub role: &'a str,
+    /// Fence of the role.
+    pub fence: Fence,
+}
+
 /// Command to a task.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TaskCommand {
@@ -287,8 +303,8 @@
     /// Reads the list of VMs.
     fn vms(&self) -> impl Future<Output = Result<VmList>>;
 
-    /// Reads the workers of a pool.
-    fn workers(&self, pool: &str) -> impl Future<Output = Result<Workers>>;
+    /// Reads the reports of workers by the names of their VMs.
+    fn workers(&self, vms: &[CompactString]) -> impl Future<Output = Result<Workers>>;
 
     /// Starts a task.
     fn start(&self, vm: &str, start: &Start) -> impl Future<Output = Result<Reply>>;
@@ -299,16 +315,17 @@
         vm: &str,
         id: &str,
         command: TaskCommand,
-        fence: Fence,
+        authority: Authority<'_>,
         lease_ms: u64,
     ) -> impl Future<Output = Result<Reply>>;
 
-    /// Sends a command to a worker.
+    /// Sends a command to a worker; a `step` below the highest it has seen is refused.
     fn command(
         &self,
         vm: &str,
         command: WorkerCommand,
-        fence: Fence,
+        authority: Authority<'_>,
+        step: u64,
     ) -> impl Future<Output = Result<Reply>>;
 }
 
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use cyper::Client;
 use hyper::Method;
 use hyper::StatusCode;
@@ -10,8 +11,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
-use wigeonhinge::id::Fence;
 
+use crate::platform::Authority;
 use crate::platform::Document;
 use crate::platform::Error;
 use crate::platform::Item;
@@ -209,8 +210,8 @@
         answer.read()
     }
 
-    async fn workers(&self, pool: &str) -> Result<Workers> {
-        let path = format!("/v1/workers?pool={pool}");
+    async fn workers(&self, vms: &[CompactString]) -> Result<Workers> {
+        let path = format!("/v1/workers?vms={}", vms.join(","));
         let answer = self.call(Method::GET, &path, Vec::new()).await?;
         answer.read()
     }
@@ -225,20 +226,28 @@
         vm: &str,
         id: &str,
         command: TaskCommand,
-        fence: Fence,
+        authority: Authority<'_>,
         lease_ms: u64,
     ) -> Result<Reply> {
         let path = format!("/v1/workers/{vm}/tasks/{id}/{}", command.path());
+        let Authority { role, fence } = authority;
         let body = match command {
-            TaskCommand::Renew => json!({ "fence": fence, "lease_ms": lease_ms }),
-            _ => json!({ "fence": fence }),
+            TaskCommand::Renew => json!({ "role": role, "fence": fence, "lease_ms": lease_ms }),
+            _ => json!({ "role": role, "fence": fence }),
         };
         self.order(&path, body.to_string().into_bytes()).await
     }
 
-    async fn command(&self, vm: &str, command: WorkerCommand, fence: Fence) -> Result<Reply> {
+    async fn command(
+        &self,
+        vm: &str,
+        command: WorkerCommand,
+        authority: Authority<'_>,
+        step: u64,
+    ) -> Result<Reply> {
+        let Authority { role, fence } = authority;
         let path = format!("/v1/workers/{vm}/{}", command.path());
-        let body = json!({ "fence": fence }).to_string();
+        let body = json!({ "role": role, "fence": fence, "step": step }).to_string();
         self.order(&path, body.into_bytes()).await
     }
 }
@@ -316,7 +325,7 @@
 
 #[derive(Deserialize)]
 struct Fenced {
-    fence: Fence,
+    fence: u64,
 }
 
 #[derive(Deserialize)]
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -8,6 +8,7 @@
 use wigeonhinge_standin::platform::Platform as Standin;
 use wigeonhinge_standin::vms::State;
 use wigeonhinge_standin::workers::Faults;
+use wigeonhinged::platform::Authority;
 use wigeonhinged::platform::Effect;
 use wigeonhinged::platform::HttpPlatform;
 use wigeonhinged::platform::Platform;
@@ -136,6 +137,7 @@
 fn start(fence: u64) -> Start {
     Start {
         id: "job".into(),
+        role: "jobs/crews".into(),
         fence,
         lease_ms: 10_000,
         millicores: 100,
@@ -144,17 +146,46 @@
     }
 }
 
+fn authority(fence: u64) -> Authority<'static> {
+    let role = "jobs/crews";
+    Authority { role, fence }
+}
+
+/// Guards against a late copy of a reboot order that restarts a worker again.
+#[compio::test]
+async fn worker_late_order() {
+    let (standin, client) = open();
+    standin.state().workers.add("vm");
+    for _ in 0..2 {
+        let reboot = client
+            .command("vm", WorkerCommand::Reboot, authority(1), 3)
+            .await;
+        assert_eq!(reboot, Ok(Reply::Done));
+        compio::time::sleep(Duration::from_millis(300)).await;
+        let list = client.workers(&["vm".into()]).await.expect("list");
+        assert_eq!((list.workers[0].boot, list.workers[0].step), (2, 0));
+    }
+    let older = client
+        .command("vm", WorkerCommand::Drain, authority(1), 2)
+        .await;
+    assert!(matches!(older, Ok(Reply::Refused(_))), "{older:?}");
+}
+
 /// Guards against a former role holder that still commands a worker.
 #[compio::test]
 async fn worker_fence() {
     let (standin, client) = open();
-    standin.state().workers.add("vm", "crews");
+    standin.state().workers.add("vm");
     assert_eq!(client.start("vm", &start(5)).await, Ok(Reply::Done));
     assert_eq!(client.start("vm", &start(5)).await, Ok(Reply::Done));
     assert_eq!(standin.state().workers.starts("vm"), 1);
-    let old = client.command("vm", WorkerCommand::Drain, 4).await;
+    let old = client
+        .task("vm", "job", TaskCommand::Stop, authority(4), 0)
+        .await;
     assert_eq!(old, Ok(Reply::Fenced(5)));
-    let stop = client.task("vm", "job", TaskCommand::Stop, 5, 0).await;
+    let stop = client
+        .task("vm", "job", TaskCommand::Stop, authority(5), 0)
+        .await;
     assert_eq!(stop, Ok(Reply::Done));
 }
 
@@ -167,14 +198,16 @@
         fails: true,
         ..Faults::default()
     };
-    standin.state().workers.add("vm", "crews");
+    standin.state().workers.add("vm");
     standin.state().workers.faults("vm", faults);
     assert_eq!(client.start("vm", &start(1)).await, Ok(Reply::Done));
-    let list = client.workers("crews").await.expect("list");
+    let list = client.workers(&["vm".into()]).await.expect("list");
     assert_eq!(list.workers[0].tasks[0].state, TaskState::Failed);
-    let reboot = client.command("vm", WorkerCommand::Reboot, 1).await;
+    let reboot = client
+        .command("vm", WorkerCommand::Reboot, authority(1), 1)
+        .await;
     assert_eq!(reboot, Ok(Reply::Done));
     compio::time::sleep(Duration::from_millis(300)).await;
-    let list = client.workers("crews").await.expect("list");
+    let list = client.workers(&["vm".into()]).await.expect("list");
     assert_eq!(list.workers[0].state, WorkerState::Broken);
 }
--- a/crates/standin/src/platform/route.rs
+++ b/crates/standin/src/platform/route.rs
@@ -15,6 +15,7 @@
 use crate::store;
 use crate::store::Store;
 use crate::workers;
+use crate::workers::Order;
 use crate::workers::Start;
 
 /// Longest time that a watch waits.
@@ -45,13 +46,6 @@
     ttl_ms: u64,
 }
 
-#[derive(Deserialize)]
-struct Order {
-    fence: u64,
-    #[serde(default)]
-    lease_ms: u64,
-}
-
 impl Call {
     pub(super) fn new(method: &Method, uri: &Uri, body: Bytes) -> Self {
         let path: Vec<String> = uri
@@ -133,7 +127,9 @@
         "grant" | "renew" | "revoke" => Some(leases(&mut state.store, call)),
         "vms" => Some((200, Some(state.vms.list(Instant::now())))),
         "workers" => {
-            let list = state.workers.list(call.text("pool"), Instant::now());
+            let list = state
+                .workers
+                .list(call.text("vms").split(','), Instant::now());
             Some((200, Some(list)))
         }
         "start" | "task" | "command" => Some(orders(state, call)),
@@ -221,10 +217,9 @@
         let Some(order) = call.read::<Order>() else {
             return (400, None);
         };
-        let terms = (order.fence, order.lease_ms);
         match call.path.as_slice() {
-            [_, _, _, id, command] => state.workers.task(vm, id, command, terms, now),
-            [_, _, command] => state.workers.command(vm, command, order.fence, now),
+            [_, _, _, id, command] => state.workers.task(vm, id, command, &order, now),
+            [_, _, command] => state.workers.command(vm, command, &order, now),
             _ => return (404, None),
         }
     };
--- a/crates/standin/src/workers.rs
+++ b/crates/standin/src/workers.rs
@@ -13,7 +13,7 @@
 /// Time that a reboot takes unless set otherwise.
 pub const REBOOT: Duration = Duration::from_millis(200);
 
-/// Workers of all pools.
+/// The workers.
 #[derive(Clone, Debug, Default)]
 pub struct Workers {
     workers: BTreeMap<String, Worker>,
@@ -35,7 +35,9 @@
 pub struct Start {
     /// Identifier.
     pub id: String,
-    /// Fence of the one who starts it.
+    /// Role of the one who starts it.
+    pub role: String,
+    /// Fence of that role.
     pub fence: u64,
     /// Milliseconds that it may run without being renewed.
     pub lease_ms: u64,
@@ -50,12 +52,26 @@
     pub accelerators: u32,
 }
 
+/// A command's role, fence and terms.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Order {
+    /// Role of the one who gives the command.
+    pub role: String,
+    /// Fence of that role.
+    pub fence: u64,
+    /// Step of a worker command.
+    pub step: u64,
+    /// Milliseconds that a renewed task may run.
+    pub lease_ms: u64,
+}
+
 /// Why a worker refused a command.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Refusal {
     /// No such worker or task.
     Absent,
-    /// It has seen this higher fence.
+    /// It has seen this higher fence of the role.
     Fenced(u64),
     /// Its state does not allow the command.
     State(&'static str),
@@ -66,9 +82,11 @@
 
 #[derive(Clone, Debug)]
 struct Worker {
-    pool: String,
     state: State,
-    fence: u64,
+    fences: BTreeMap<String, u64>,
+    boot: u64,
+    step: u64,
+    seen: u64,
     faults: Faults,
     reboot: Duration,
     until: Option<Instant>,
@@ -95,12 +113,14 @@
 }
 
 impl Workers {
-    /// Adds a worker to a pool.
-    pub fn add(&mut self, vm: &str, pool: &str) {
+    /// Adds a worker.
+    pub fn add(&mut self, vm: &str) {
         let worker = Worker {
-            pool: pool.to_owned(),
             state: State::Up,
-            fence: 0,
+            fences: BTreeMap::new(),
+            boot: 1,
+            step: 0,
+            seen: 0,
             faults: Faults::default(),
             reboot: REBOOT,
             until: None,
@@ -152,7 +172,7 @@
     ///
     /// Fails for an absent worker, a lower fence or a worker that is not up.
     pub fn start(&mut self, vm: &str, start: &Start, now: Instant) -> Result {
-        let worker = self.fenced(vm, start.fence)?;
+        let worker = self.fenced(vm, &start.role, start.fence)?;
         let known = worker.tasks.get(&start.id);
         if known.is_some_and(|task| task.fence == start.fence) {
             return Ok(());
@@ -185,17 +205,16 @@
         vm: &str,
         id: &str,
         command: &str,
-        order: (u64, u64),
+        order: &Order,
         now: Instant,
     ) -> Result {
-        let (fence, lease_ms) = order;
-        let worker = self.fenced(vm, fence)?;
+        let worker = self.fenced(vm, &order.role, order.fence)?;
         let task = worker.tasks.get_mut(id).ok_or(Refusal::Absent)?;
         if !task.runs() {
             return Err(Refusal::State("the task has ended"));
         }
         match command {
-            "renew" => task.end = now + Duration::from_millis(lease_ms),
+            "renew" => task.end = now + Duration::from_millis(order.lease_ms),
             "checkpoint" => task.state = "checkpointed",
             "throttle" => task.state = "throttled",
             "stop" => task.state = "stopped",
@@ -209,8 +228,14 @@
     /// # Errors
     ///
     /// Fails for an absent worker, a lower fence or a state that forbids the command.
-    pub fn command(&mut self, vm: &str, command: &str, fence: u64, now: Instant) -> Result {
-        let worker = self.fenced(vm, fence)?;
+    pub fn command(&mut self, vm: &str, command: &str, order: &Order, now: Instant) -> Result {
+        let worker = self.fenced(vm, &order.role, order.fence)?;
+        if order.step < worker.seen {
+            return Err(Refusal::State("the worker has seen a later step"));
+        }
+        if order.step == worker.seen && order.step > 0 {
+            return Ok(());
+        }
         match (command, worker.state) {
             (_, State::Rebooting) => return Err(Refusal::State("the worker reboots")),
             ("reboot", _) => worker.restart(now),
@@ -222,15 +247,25 @@
             ("uncordon", _) => worker.state = State::Up,
             _ => return Err(Refusal::Absent),
         }
+        worker.seen = order.step;
+        if worker.state != State::Rebooting {
+            worker.step = order.step;
+        }
         Ok(())
     }
 
-    fn fenced(&mut self, vm: &str, fence: u64) -> std::result::Result<&mut Worker, Refusal> {
+    fn fenced(
+        &mut self,
+        vm: &str,
+        role: &str,
+        fence: u64,
+    ) -> std::result::Result<&mut Worker, Refusal> {
         let worker = self.workers.get_mut(vm).ok_or(Refusal::Absent)?;
-        if fence < worker.fence {
-            return Err(Refusal::Fenced(worker.fence));
+        let seen = worker.fences.entry(role.to_owned()).or_default();
+        if fence < *seen {
+            return Err(Refusal::Fenced(*seen));
         }
-        worker.fence = fence;
+        *seen = fence;
         Ok(worker)
     }
 
@@ -241,13 +276,10 @@
         }
     }
 
-    /// Returns the workers of a pool as the platform reports them.
-    pub fn list(&self, pool: &str, now: Instant) -> Value {
-        let workers: Vec<Value> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.pool == pool)
-            .map(|(vm, worker)| worker.report(vm, now))
+    /// Returns the reports of some workers; absent ones are left out.
+    pub fn list<'a>(&self, vms: impl Iterator<Item = &'a str>, now: Instant) -> Value {
+        let workers: Vec<Value> = vms
+            .filter_map(|vm| Some(self.workers.get(vm)?.report(vm, now)))
             .collect();
         json!({ "as_of_ms": unix_ms(), "workers": workers })
     }
@@ -256,6 +288,8 @@
 impl Worker {
     fn restart(&mut self, now: Instant) {
         self.state = State::Rebooting;
+        self.boot += 1;
+        self.step = 0;
         self.until = Some(now + self.reboot);
         self.tasks.clear();
     }
@@ -285,7 +319,13 @@
             .iter()
             .map(|(id, task)| task.report(id, lag, now))
             .collect();
-        json!({ "vm": vm, "state": self.state.name(), "fence": self.fence, "tasks": tasks })
+        json!({
+            "vm": vm,
+            "state": self.state.name(),
+            "boot": self.boot,
+            "step": self.step,
+            "tasks": tasks,
+        })
     }
 }
 
