--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -13,9 +13,9 @@
 //! - [`scheduler`] decides on the jobs of a pool.
 //! - [`outcome`] lists the error kinds of requests and their answers.
 
+pub mod admit;
 pub mod config;
 pub mod controller;
-pub mod admit;
 pub mod eject;
 pub mod error;
 pub mod fleet;
@@ -23,9 +23,9 @@
 pub mod id;
 pub mod ledger;
 pub mod outcome;
-pub mod scheduler;
 pub mod retry;
 pub mod route;
+pub mod scheduler;
 pub mod share;
 
 pub use crate::error::Category;
--- /dev/null
+++ b/crates/wigeonhinge/tests/share.rs
@@ -0,0 +1,188 @@
+//! Parts of an upstream's slots never sum to more than the slots.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+use wigeonhinge::id::EntryId;
+use wigeonhinge::share::DEAD;
+use wigeonhinge::share::HOLD;
+use wigeonhinge::share::Shares;
+
+const STEP: Duration = Duration::from_millis(10);
+const HEARTBEAT: u64 = 30;
+const SLOTS: u32 = 8;
+
+/// What happens to an entry at a step.
+#[derive(Clone, Debug)]
+enum Fate {
+    Die,
+    Start,
+    Pause(u64),
+}
+
+/// An entry with a simple membership: those heard within the last 2 s are live.
+struct Entry {
+    shares: Shares,
+    heard: BTreeMap<EntryId, Duration>,
+    inbox: Vec<EntryId>,
+    paused: u64,
+}
+
+impl Entry {
+    fn new(name: &EntryId) -> Self {
+        let mut shares = Shares::new(name.clone());
+        shares.set(0, "crews-1".into(), SLOTS, 64);
+        Self {
+            shares,
+            heard: BTreeMap::new(),
+            inbox: Vec::new(),
+            paused: 0,
+        }
+    }
+
+    fn step(&mut self, now: Duration) {
+        self.shares.observe(now);
+        let heard = self.inbox.drain(..).map(|name| (name, now));
+        self.heard.extend(heard);
+        self.heard.retain(|_, at| now - *at < DEAD);
+        let live = self.heard.keys().cloned().collect();
+        self.shares.members(&live, now);
+    }
+}
+
+fn name(index: usize) -> EntryId {
+    format!("e{index}").into()
+}
+
+/// Runs the entries; returns the sum of their parts at the end and how many are alive.
+fn run(fates: &[(u64, usize, Fate)], steps: u64) -> Result<(u32, usize), TestCaseError> {
+    let mut entries: BTreeMap<EntryId, Entry> = BTreeMap::new();
+    for index in 0..3 {
+        entries.insert(name(index), Entry::new(&name(index)));
+    }
+    let mut sum = 0;
+    for step in 0..steps {
+        let now = STEP * u32::try_from(step).unwrap();
+        for (_, index, fate) in fates.iter().filter(|(at, _, _)| *at == step) {
+            let name = name(*index);
+            match (fate, entries.get_mut(&name)) {
+                (Fate::Die, _) => drop(entries.remove(&name)),
+                (Fate::Pause(steps), Some(entry)) => entry.paused = *steps,
+                (Fate::Start, None) => drop(entries.insert(name.clone(), Entry::new(&name))),
+                _ => {}
+            }
+        }
+        let senders: Vec<EntryId> = entries
+            .iter()
+            .enumerate()
+            .filter(|(at, (_, it))| it.paused == 0 && (step + 7 * *at as u64) % HEARTBEAT == 0)
+            .map(|(_, (name, _))| name.clone())
+            .collect();
+        sum = 0;
+        for (own, entry) in &mut entries {
+            let others = senders.iter().filter(|name| *name != own);
+            entry.inbox.extend(others.cloned());
+            if entry.paused > 0 {
+                entry.paused -= 1;
+                continue;
+            }
+            // The part that would be used before anything else is noticed.
+            sum += entry.shares.allowed(0, now);
+            entry.step(now);
+        }
+        prop_assert!(sum <= SLOTS, "parts sum to {sum} at {now:?}");
+    }
+    Ok((sum, entries.len()))
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        Just(Fate::Die),
+        Just(Fate::Start),
+        (1_u64..600).prop_map(Fate::Pause),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against slots used twice while entries die, start and pause at any time, and against
+    /// slots that stay unused 8 s after the last of it.
+    #[test]
+    fn observe_sum(fates in vec((0_u64..1_500, 0_usize..5, fate()), 0..8)) {
+        let (sum, alive) = run(&fates, 3_000)?;
+        prop_assert!(sum == SLOTS || alive == 0, "parts sum to {}", sum);
+    }
+}
+
+fn set(names: &[&str]) -> BTreeSet<EntryId> {
+    names.iter().map(|name| EntryId::from(*name)).collect()
+}
+
+fn confirmed(entry: &str, live: &[&str]) -> Shares {
+    let mut shares = Shares::new(entry.into());
+    shares.set(0, "crews-1".into(), SLOTS, 64);
+    shares.observe(Duration::ZERO);
+    shares.members(&set(live), Duration::ZERO);
+    shares.confirm();
+    shares
+}
+
+/// Guards against slots that no entry has because the division has a remainder.
+#[rstest]
+#[case(1)]
+#[case(3)]
+#[case(7)]
+#[case(12)]
+fn divide_remainder(#[case] count: usize) {
+    let names: Vec<String> = (0..count).map(|index| format!("e{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let parts = names.iter().map(|name| confirmed(name, &names));
+    let sums = parts.fold((0, 0), |sums, shares| {
+        let slots = shares.allowed(0, Duration::ZERO);
+        (sums.0 + slots, sums.1 + shares.connections(0))
+    });
+    assert_eq!(sums, (SLOTS, 64));
+}
+
+/// Guards against a takeover before the silent entry has stopped, or later than 3 s.
+#[test]
+fn members_takeover() {
+    let mut shares = confirmed("e1", &["e1", "e2"]);
+    shares.observe(Duration::from_millis(900));
+    shares.observe(Duration::from_millis(1_800));
+    shares.observe(DEAD);
+    shares.members(&set(&["e1"]), DEAD);
+    let before = Duration::from_millis(2_499);
+    shares.observe(before);
+    assert_eq!(shares.allowed(0, before), 4);
+    let after = Duration::from_millis(2_500);
+    shares.observe(after);
+    assert_eq!(shares.allowed(0, after), SLOTS);
+}
+
+/// Guards against a paused entry that acts on its old part before it has noticed the pause.
+#[rstest]
+#[case(1_000, 4)]
+#[case(1_001, 0)]
+fn allowed_gap(#[case] gap: u64, #[case] allowed: u32) {
+    let mut shares = confirmed("e1", &["e1", "e2"]);
+    let now = Duration::from_millis(gap);
+    assert_eq!(shares.allowed(0, now), allowed);
+    shares.observe(now);
+    assert_eq!(shares.allowed(0, now), allowed);
+    for tick in 1..=26 {
+        shares.observe(now + HOLD / 25 * tick);
+    }
+    assert_eq!(shares.allowed(0, now + HOLD / 25 * 26), 4);
+}
