--- /dev/null
+++ b/crates/wigeonhinge/tests/gateway.rs
@@ -0,0 +1,388 @@
+//! The composed decisions of one entry and of two that lend to each other.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rstest::rstest;
+use wigeonhinge::gateway::Action;
+use wigeonhinge::gateway::Arrival;
+use wigeonhinge::gateway::Event;
+use wigeonhinge::gateway::Gateway;
+use wigeonhinge::gateway::Sent;
+use wigeonhinge::id::Ticket;
+use wigeonhinge::outcome::Kind;
+use wigeonhinge_schema::fleet::Fleet;
+
+use crate::gateways::arrival;
+use crate::gateways::fleet;
+use crate::gateways::ms;
+use crate::gateways::ready;
+use crate::gateways::sends;
+
+#[path = "support/gateways.rs"]
+mod gateways;
+
+const OK: Sent = Sent::Answered { failed: false };
+
+fn arrive(gateway: &mut Gateway, ticket: Ticket, service: &str, now: Duration) -> Vec<Action> {
+    gateway.handle(Event::Arrive(arrival(ticket, service, now)), now)
+}
+
+fn report(gateway: &mut Gateway, ticket: Ticket, sent: Sent, now: Duration) -> Vec<Action> {
+    gateway.handle(Event::Report { ticket, sent }, now)
+}
+
+fn failed(ticket: Ticket, kind: Kind) -> Vec<Action> {
+    vec![Action::Fail { ticket, kind }]
+}
+
+fn adopt(fleet: Fleet) -> Event {
+    Event::Adopt(Box::new(fleet))
+}
+
+/// Serves `count` requests at once, which earns a retry for every ten.
+fn serve(gateway: &mut Gateway, count: u64, now: Duration) {
+    for ticket in 1_000..1_000 + count {
+        assert_eq!(sends(&arrive(gateway, ticket, "crews", now)).len(), 1);
+        assert!(report(gateway, ticket, OK, now).is_empty());
+    }
+}
+
+/// Guards against requests that are kept although no upstream can ever take them.
+#[test]
+fn arrive_refusals() {
+    let mut gateway = Gateway::new("e1".into(), "a".into());
+    let refused = arrive(&mut gateway, 1, "crews", ms(0));
+    assert_eq!(refused, failed(1, Kind::NotReady));
+    gateway.handle(adopt(fleet(&["a"], &["crews"], 2, 8)), ms(0));
+    let refused = arrive(&mut gateway, 2, "bridge", ms(0));
+    assert_eq!(refused, failed(2, Kind::UnknownService));
+    let leaving = BTreeSet::from(["crews-0".into(), "crews-1".into()]);
+    gateway.handle(Event::Leaving(leaving), ms(0));
+    let refused = arrive(&mut gateway, 3, "crews", ms(0));
+    assert_eq!(refused, failed(3, Kind::NoUpstream));
+    gateway.handle(Event::Leaving(BTreeSet::new()), ms(0));
+    assert!(arrive(&mut gateway, 4, "crews", ms(0)).is_empty());
+    gateway.handle(Event::Stop, ms(0));
+    let refused = arrive(&mut gateway, 5, "crews", ms(0));
+    assert_eq!(refused, failed(5, Kind::NotReady));
+    assert_eq!(gateway.handle(Event::Confirmed, ms(0)).len(), 1);
+    assert!(report(&mut gateway, 4, OK, ms(10)).is_empty());
+    assert_eq!(gateway.status().requests, 0);
+}
+
+/// Guards against new work for an upstream that is leaving by any of the signs.
+#[rstest]
+#[case(Event::Leaving(BTreeSet::from(["crews-0".into()])), Event::Leaving(BTreeSet::new()))]
+#[case(Event::Announced("crews-0".into()), Event::Rejoined("crews-0".into()))]
+#[case(Event::Suspect("crews-0".into()), Event::Tick)]
+fn send_leaving(#[case] leave: Event, #[case] back: Event) {
+    let mut gateway = ready(fleet(&["a"], &["crews"], 2, 8));
+    gateway.handle(leave, ms(0));
+    for ticket in 0..16 {
+        let sent = sends(&arrive(&mut gateway, ticket, "crews", ms(0)));
+        assert!(sent.iter().all(|(_, upstream)| upstream == "crews-1"));
+    }
+    assert_eq!(gateway.status().services["crews"].queued, 8);
+    gateway.handle(Event::Tick, ms(900));
+    let sent = sends(&gateway.handle(back, ms(1_800)));
+    assert!(sent.iter().all(|(_, upstream)| upstream == "crews-0"));
+    assert!(!sent.is_empty());
+}
+
+/// Guards against a second sending of a non-idempotent request that may have run, and against a
+/// retry on the upstream that failed.
+#[rstest]
+#[case(Kind::ConnectFailed, false, true)]
+#[case(Kind::RefusedByUpstream, false, true)]
+#[case(Kind::ConnectionLost, false, false)]
+#[case(Kind::ConnectionLost, true, true)]
+#[case(Kind::AnswerMismatch, true, false)]
+fn report_retry(#[case] kind: Kind, #[case] idempotent: bool, #[case] again: bool) {
+    let mut gateway = ready(fleet(&["a"], &["crews"], 3, 8));
+    serve(&mut gateway, 30, ms(0));
+    let request = Arrival {
+        idempotent,
+        ..arrival(1, "crews", ms(0))
+    };
+    let first = sends(&gateway.handle(Event::Arrive(request), ms(0)));
+    let actions = report(&mut gateway, 1, Sent::Failed(kind), ms(1));
+    let second = sends(&actions);
+    assert_eq!(second.len(), usize::from(again));
+    assert!(again || actions == failed(1, kind));
+    assert!(second.iter().all(|sent| sent.1 != first[0].1));
+}
+
+/// Guards against "not run" for a request whose earlier sending may have run.
+#[test]
+fn fail_doubt() {
+    let mut gateway = ready(fleet(&["a"], &["crews"], 2, 1));
+    serve(&mut gateway, 30, ms(0));
+    arrive(&mut gateway, 1, "crews", ms(0));
+    arrive(&mut gateway, 2, "crews", ms(0));
+    report(&mut gateway, 1, Sent::Failed(Kind::ConnectionLost), ms(1));
+    let late = gateway.handle(Event::Tick, ms(10_000));
+    assert!(late.contains(&Action::Fail {
+        ticket: 1,
+        kind: Kind::ConnectionLost
+    }));
+}
+
+/// Guards against a storm of retries when all upstreams fail.
+#[rstest]
+#[case(Kind::ConnectFailed)]
+#[case(Kind::ConnectionLost)]
+fn report_storm(#[case] kind: Kind) {
+    let mut gateway = ready(fleet(&["a"], &["crews"], 4, 8));
+    let (mut sent, mut open) = (0, Vec::new());
+    for ticket in 0..2_000 {
+        let now = ms(ticket);
+        open.extend(sends(&arrive(&mut gateway, ticket, "crews", now)));
+        for (ticket, _) in std::mem::take(&mut open) {
+            sent += 1;
+            open.extend(sends(&report(
+                &mut gateway,
+                ticket,
+                Sent::Failed(kind),
+                now,
+            )));
+        }
+    }
+    assert!(sent < 2_200, "{sent} sendings of 2000 requests");
+}
+
+/// Guards against slots used by an entry that was paused until its peers count it again.
+#[test]
+fn handle_pause() {
+    let mut gateway = ready(fleet(&["a"], &["crews"], 2, 8));
+    gateway.handle(
+        Event::Members(BTreeSet::from(["e1".into(), "e2".into()])),
+        ms(0),
+    );
+    assert!(sends(&arrive(&mut gateway, 1, "crews", ms(1_500))).is_empty());
+    assert!(gateway.status().holding);
+    for tick in 31..80 {
+        assert!(sends(&gateway.handle(Event::Tick, ms(tick * 50))).is_empty());
+    }
+    assert_eq!(sends(&gateway.handle(Event::Tick, ms(4_000))).len(), 1);
+}
+
+/// Guards against requests lost or answered twice when the configuration changes under them, and
+/// against slots of a removed upstream that are used again.
+#[test]
+fn adopt_changes() {
+    let mut gateway = ready(fleet(&["a"], &["crews", "bridge"], 1, 1));
+    let first = sends(&arrive(&mut gateway, 1, "crews", ms(0)));
+    assert_eq!(first, [(1, "crews-0".to_owned())]);
+    arrive(&mut gateway, 2, "crews", ms(0));
+    let without = fleet(&["a"], &["bridge"], 1, 1);
+    let refused = gateway.handle(adopt(without), ms(1));
+    assert!(refused.contains(&failed(2, Kind::UnknownService)[0]));
+    assert!(report(&mut gateway, 1, OK, ms(2)).is_empty());
+    assert_eq!(gateway.status().requests, 0);
+    assert!(!gateway.status().upstreams.contains_key("crews-0"));
+    gateway.handle(adopt(fleet(&["a"], &["crews", "bridge"], 2, 1)), ms(3));
+    assert_eq!(sends(&arrive(&mut gateway, 3, "crews", ms(3))).len(), 1);
+}
+
+/// Guards against slots lost to cancelled requests, queued or running.
+#[test]
+fn cancel_burst() {
+    let mut gateway = ready(fleet(&["a"], &["crews"], 2, 4));
+    for ticket in 0..500 {
+        arrive(&mut gateway, ticket, "crews", ms(0));
+    }
+    for ticket in 0..500 {
+        gateway.handle(Event::Cancel(ticket), ms(1));
+    }
+    let status = gateway.status();
+    assert_eq!((status.requests, status.services["crews"].queued), (0, 0));
+    for ticket in 500..508 {
+        assert_eq!(
+            sends(&arrive(&mut gateway, ticket, "crews", ms(2))).len(),
+            1
+        );
+    }
+}
+
+/// Guards against an upstream that fails at once and so attracts the work of the others, while
+/// they are full.
+#[test]
+fn release_fast_failure() {
+    let mut gateway = ready(fleet(&["a"], &["crews"], 3, 1));
+    serve(&mut gateway, 3, ms(0));
+    let mut running: Vec<(Ticket, String, u64)> = Vec::new();
+    let mut bad = 0;
+    for at in 0..1_000 {
+        let mut actions = arrive(&mut gateway, at, "crews", ms(at));
+        let done = running.extract_if(.., |(_, name, due)| *due <= at || name == "crews-0");
+        for (ticket, name, _) in done.collect::<Vec<_>>() {
+            let failed = name == "crews-0";
+            bad += u64::from(failed);
+            actions.extend(report(
+                &mut gateway,
+                ticket,
+                Sent::Answered { failed },
+                ms(at),
+            ));
+        }
+        let sent = sends(&actions).into_iter();
+        running.extend(sent.map(|(ticket, name)| (ticket, name, at + 20)));
+    }
+    assert!(bad <= 10, "{bad} requests failed");
+}
+
+/// Passes loan messages between two gateways until none is left; returns all other actions.
+fn exchange(
+    pair: &mut [Gateway; 2],
+    from: usize,
+    actions: Vec<Action>,
+    now: Duration,
+) -> Vec<Action> {
+    let mut pending: Vec<(usize, Action)> = actions.into_iter().map(|it| (from, it)).collect();
+    let mut rest = Vec::new();
+    while let Some((from, action)) = pending.pop() {
+        let entry = ["e1", "e2"][from].into();
+        let event = match action {
+            Action::Borrow {
+                upstream, slots, ..
+            } => Event::Borrow {
+                entry,
+                upstream,
+                slots,
+            },
+            Action::Loan {
+                upstream,
+                slots,
+                loan,
+                ..
+            } => Event::Loan {
+                entry,
+                upstream,
+                slots,
+                loan,
+            },
+            Action::Return { loan, .. } => Event::Return { entry, loan },
+            other => {
+                rest.push(other);
+                continue;
+            }
+        };
+        let to = 1 - from;
+        let actions = pair[to].handle(event, now);
+        pending.extend(actions.into_iter().map(|it| (to, it)));
+    }
+    rest
+}
+
+fn pair(zones: [&str; 2], fleet: &Fleet) -> [Gateway; 2] {
+    let names = ["e1", "e2"];
+    let mut pair = [0, 1].map(|at| Gateway::new(names[at].into(), zones[at].into()));
+    for gateway in &mut pair {
+        gateway.handle(adopt(fleet.clone()), ms(0));
+        if zones[0] == zones[1] {
+            let both = names.map(Into::into).into();
+            gateway.handle(Event::Members(both), ms(0));
+        }
+        gateway.handle(Event::Confirmed, ms(0));
+    }
+    pair
+}
+
+fn offer(pair: &mut [Gateway; 2], from: usize, now: Duration) -> Vec<Action> {
+    let event = Event::Offers {
+        entry: ["e1", "e2"][from].into(),
+        slots: pair[from].offers(),
+    };
+    pair[1 - from].handle(event, now)
+}
+
+/// Guards against idle slots of a peer that stay unused, against a slot used by lender and
+/// borrower at once, and against loans that are not returned.
+#[rstest]
+#[case(["a", "a"], 8, 3)]
+#[case(["a", "b"], 16, 4)]
+fn borrow_return(#[case] zones: [&str; 2], #[case] own: usize, #[case] lent: usize) {
+    let mut pair = pair(zones, &fleet(&zones, &["crews"], 2, 8));
+    let own = own.min(8);
+    let mut running = 0;
+    for ticket in 0..40 {
+        running += sends(&arrive(&mut pair[0], ticket, "crews", ms(0))).len();
+    }
+    assert_eq!(running, own);
+    let asked = offer(&mut pair, 1, ms(1));
+    let sent = sends(&exchange(&mut pair, 0, asked, ms(1)));
+    assert!(sent.len() >= lent, "{} sent", sent.len());
+    for ticket in 100..120 {
+        arrive(&mut pair[1], ticket, "crews", ms(2));
+    }
+    let used: Vec<u32> = ["crews-0", "crews-1"]
+        .map(|name| {
+            pair.iter()
+                .map(|it| it.status().upstreams[name].running)
+                .sum()
+        })
+        .to_vec();
+    assert!(used.iter().all(|used| *used <= 8), "{used:?}");
+    assert_eq!(used.iter().sum::<u32>(), 16);
+    for ticket in 0..40 {
+        let actions = pair[0].handle(Event::Cancel(ticket), ms(3));
+        exchange(&mut pair, 0, actions, ms(3));
+    }
+    let lent = pair[1]
+        .status()
+        .upstreams
+        .values()
+        .map(|it| it.lent)
+        .sum::<u32>();
+    assert_eq!(lent, 0);
+}
+
+/// Guards against work on a loan after its lender may have died, and against a loan whose answer
+/// came too late to be known.
+#[test]
+fn borrow_term() {
+    let fleet = fleet(&["a", "b"], &["crews"], 2, 8);
+    let mut pair = pair(["a", "b"], &fleet);
+    for ticket in 0..9 {
+        arrive(&mut pair[0], ticket, "crews", ms(0));
+    }
+    let asked = offer(&mut pair, 1, ms(1));
+    assert_eq!(sends(&exchange(&mut pair, 0, asked, ms(1))).len(), 1);
+    for ticket in 9..20 {
+        arrive(&mut pair[0], ticket, "crews", ms(900));
+    }
+    assert!(pair[0].status().upstreams["crews-1"].borrowed > 0);
+    let (ticket, kind) = (8, Kind::ConnectFailed);
+    let late = report(&mut pair[0], ticket, Sent::Failed(kind), ms(1_100));
+    assert!(late.iter().any(|it| matches!(it, Action::Return { .. })));
+    assert!(
+        sends(&late)
+            .iter()
+            .all(|(_, upstream)| upstream == "crews-0")
+    );
+    let unknown = Event::Loan {
+        entry: "e2".into(),
+        upstream: "crews-1".into(),
+        slots: 2,
+        loan: 77,
+    };
+    let returned = Action::Return {
+        entry: "e2".into(),
+        loan: 77,
+    };
+    assert!(pair[0].handle(unknown, ms(1_200)).contains(&returned));
+}
+
+/// Guards against connections above an upstream's limit when shares change.
+#[test]
+fn members_connections() {
+    let mut gateway = ready(fleet(&["a"], &["crews"], 1, 8));
+    let both = BTreeSet::from(["e1".into(), "e2".into()]);
+    let actions = gateway.handle(Event::Members(both), ms(1));
+    let limit = Action::Connections {
+        upstream: "crews-0".into(),
+        limit: 32,
+    };
+    assert_eq!(actions, [limit]);
+}
--- a/crates/wigeonhinge/tests/share.rs
+++ b/crates/wigeonhinge/tests/share.rs
@@ -80,7 +80,9 @@
         let senders: Vec<EntryId> = entries
             .iter()
             .enumerate()
-            .filter(|(at, (_, it))| it.paused == 0 && (step + 7 * *at as u64) % HEARTBEAT == 0)
+            .filter(|(at, (_, it))| {
+                it.paused == 0 && (step + 7 * *at as u64).is_multiple_of(HEARTBEAT)
+            })
             .map(|(_, (name, _))| name.clone())
             .collect();
         sum = 0;
--- a/crates/wigeonhinge/tests/support/gateways.rs
+++ b/crates/wigeonhinge/tests/support/gateways.rs
@@ -15,15 +15,17 @@
 use wigeonhinge_schema::fleet::Vm;
 use wigeonhinge_schema::fleet::Zone;
 
-pub const fn ms(ms: u64) -> Duration {
+pub(crate) const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
 /// Returns a fleet of services with `count` upstreams each, spread over the zones; the last is spare.
-pub fn fleet(zones: &[&str], services: &[&str], count: usize, slots: u32) -> Fleet {
+pub(crate) fn fleet(zones: &[&str], services: &[&str], count: usize, slots: u32) -> Fleet {
     let mut fleet = Fleet::default();
-    let mut rules = Rules::default();
-    rules.zones = zones.iter().map(|name| zone(name)).collect();
+    let mut rules = Rules {
+        zones: zones.iter().map(|name| zone(name)).collect(),
+        ..Rules::default()
+    };
     for (rank, name) in services.iter().enumerate() {
         rules.pools.push(Pool {
             name: (*name).to_owned(),
@@ -59,7 +61,7 @@
 }
 
 /// Returns a gateway of the only entry of zone `a`, ready at time 0.
-pub fn ready(fleet: Fleet) -> Gateway {
+pub(crate) fn ready(fleet: Fleet) -> Gateway {
     let mut gateway = Gateway::new("e1".into(), "a".into());
     gateway.handle(Event::Adopt(Box::new(fleet)), Duration::ZERO);
     gateway.handle(Event::Confirmed, Duration::ZERO);
@@ -67,7 +69,7 @@
 }
 
 /// Returns an idempotent request that waits 10 s.
-pub fn arrival(ticket: Ticket, service: &str, now: Duration) -> Arrival {
+pub(crate) fn arrival(ticket: Ticket, service: &str, now: Duration) -> Arrival {
     Arrival {
         ticket,
         service: service.into(),
@@ -79,7 +81,7 @@
 }
 
 /// Returns ticket and upstream of each request that is sent.
-pub fn sends(actions: &[Action]) -> Vec<(Ticket, String)> {
+pub(crate) fn sends(actions: &[Action]) -> Vec<(Ticket, String)> {
     let sent = actions.iter().filter_map(|action| match action {
         Action::Send {
             ticket, upstream, ..
