Connect the dispatch thread with the gateway's newer events

The control plane receives the actions on loans, asks for the state of the gateway and reports suspect, leaving and returning upstreams. Idle connections stay within the limit that the gateway sets.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,5 +1,6 @@
 //! A running entry.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,7 +24,7 @@
 /// Where the fleet of an entry comes from.
 #[derive(Clone, Debug)]
 pub enum Source {
-    /// A fleet that is in force from the start.
+    /// A fleet that is in force from the start, with this entry as the only live one.
     Fixed(Box<Fleet>),
     /// Fleets that arrive through [`Control`]; until the first one, requests are
     /// answered with `not-ready`.
@@ -85,6 +86,8 @@
             .spawn(move || state.run())?;
         if let Source::Fixed(fleet) = source {
             control.send(Event::Adopt(fleet));
+            control.send(Event::Members(BTreeSet::from([settings.entry.clone()])));
+            control.send(Event::Confirmed);
         }
         Ok(Self {
             address,
@@ -119,6 +122,7 @@
     pub fn stop(mut self) {
         self.phase.drain();
         thread::sleep(self.drain);
+        self.control.send(Event::Stop);
         self.end(Order::Finish);
     }
 
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -24,6 +24,7 @@
 use wigeonhinge::gateway::Event;
 use wigeonhinge::gateway::Gateway;
 use wigeonhinge::gateway::Sent;
+use wigeonhinge::gateway::Status;
 use wigeonhinge::id::EntryId;
 use wigeonhinge::id::ServiceId;
 use wigeonhinge::id::Ticket;
@@ -35,16 +36,21 @@
 
 const INBOX: usize = 16_384;
 const MAILBOX: usize = 16_384;
+const ACTIONS: usize = 1_024;
 const TICK: Duration = Duration::from_millis(20);
 const HEALTH_PATH: &str = "/healthz";
 
-/// Sends events of the control plane to the dispatch thread.
+/// Connects the control plane with the dispatch thread.
 ///
-/// The control plane delivers adopted fleets ([`Event::Adopt`]), live entries of
-/// the zone ([`Event::Members`]), leaving VMs ([`Event::Leaving`]) and loans.
+/// The control plane sends adopted fleets ([`Event::Adopt`]), live entries of the
+/// zone ([`Event::Members`], [`Event::Confirmed`]), leaving VMs
+/// ([`Event::Leaving`]) and its peers' messages on loans ([`Event::Offers`],
+/// [`Event::Borrow`], [`Event::Loan`], [`Event::Return`]). It receives the
+/// actions on loans, and carries them out.
 #[derive(Clone, Debug)]
 pub struct Control {
     inbox: Sender<Message>,
+    actions: Receiver<Action>,
 }
 
 impl Control {
@@ -53,11 +59,36 @@
         self.inbox.send(Message::Control(event)).is_ok()
     }
 
+    /// Returns the actions on loans: [`Action::Borrow`], [`Action::Loan`] and
+    /// [`Action::Return`].
+    ///
+    /// Actions that nobody receives are dropped once 1,024 wait; the loans
+    /// concerned expire.
+    pub fn actions(&self) -> Receiver<Action> {
+        self.actions.clone()
+    }
+
+    /// Returns the state of the gateway; `None` once the entry has stopped.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        let (answer, snapshot) = flume::bounded(1);
+        self.inbox.send(Message::Snapshot(answer)).ok()?;
+        snapshot.recv().ok()
+    }
+
     pub(crate) fn close(&self) {
         let _ = self.inbox.send(Message::Close);
     }
 }
 
+/// State of the gateway at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// State and counts.
+    pub status: Status,
+    /// Idle slots to advertise to peers.
+    pub offers: BTreeMap<UpstreamId, u32>,
+}
+
 /// Message to the dispatch thread.
 #[derive(Debug)]
 pub(crate) enum Message {
@@ -67,14 +98,27 @@
     Report { ticket: Ticket, sent: Sent },
     /// The caller of a request is gone.
     Cancel(Ticket),
-    /// An upstream announced that it is leaving.
-    Announced(UpstreamId),
+    /// An upstream announced that it is leaving, or that it is not any more.
+    Leaving { upstream: UpstreamId, leaving: bool },
+    /// A probe of an upstream on a new connection was not answered.
+    Suspect(UpstreamId),
     /// An event of the control plane.
     Control(Event),
+    /// The control plane asks for the state of the gateway.
+    Snapshot(Sender<Snapshot>),
     /// The entry has stopped.
     Close,
 }
 
+/// Message to an I/O thread.
+#[derive(Clone, Debug)]
+pub(crate) enum Letter {
+    /// Decision on a request.
+    Reply(Ticket, Reply),
+    /// Connections that the entry may keep to an upstream.
+    Connections { upstream: UpstreamId, limit: u32 },
+}
+
 /// Decision on a request.
 #[derive(Clone, Debug)]
 pub(crate) enum Reply {
@@ -97,14 +141,17 @@
 pub(crate) struct Desk {
     entry: EntryId,
     inbox: Sender<Message>,
+    actions: Receiver<Action>,
     tickets: Arc<AtomicU64>,
     start: Instant,
 }
 
 impl Desk {
     pub(crate) fn control(&self) -> Control {
-        let inbox = self.inbox.clone();
-        Control { inbox }
+        Control {
+            inbox: self.inbox.clone(),
+            actions: self.actions.clone(),
+        }
     }
 
     pub(crate) fn entry(&self) -> &EntryId {
@@ -137,28 +184,32 @@
 #[derive(Debug)]
 pub(crate) struct Inbox {
     messages: Receiver<Message>,
+    actions: Sender<Action>,
     start: Instant,
 }
 
 /// Creates the channel into the dispatch thread.
 pub(crate) fn channel(entry: EntryId) -> (Desk, Inbox) {
     let (inbox, messages) = flume::bounded(INBOX);
+    let (sender, actions) = flume::bounded(ACTIONS);
     let start = Instant::now();
-    let tickets = Arc::default();
     let desk = Desk {
         entry,
         inbox,
-        tickets,
+        actions,
+        tickets: Arc::default(),
+        start,
+    };
+    let inbox = Inbox {
+        messages,
+        actions: sender,
         start,
     };
-    (desk, Inbox { messages, start })
+    (desk, inbox)
 }
 
-/// Replies to the requests of one I/O thread.
-pub(crate) type Replies = Receiver<(Ticket, Reply)>;
-
 /// Creates the channel to one I/O thread.
-pub(crate) fn mailbox() -> (Sender<(Ticket, Reply)>, Replies) {
+pub(crate) fn mailbox() -> (Sender<Letter>, Receiver<Letter>) {
     flume::bounded(MAILBOX)
 }
 
@@ -167,7 +218,7 @@
 pub(crate) struct Dispatch {
     gateway: Gateway,
     inbox: Inbox,
-    mailboxes: Vec<Sender<(Ticket, Reply)>>,
+    mailboxes: Vec<Sender<Letter>>,
     threads: BTreeMap<Ticket, usize>,
     services: BTreeMap<ServiceId, CompactString>,
     owners: BTreeMap<UpstreamId, ServiceId>,
@@ -175,11 +226,7 @@
 }
 
 impl Dispatch {
-    pub(crate) fn new(
-        settings: &Settings,
-        inbox: Inbox,
-        mailboxes: Vec<Sender<(Ticket, Reply)>>,
-    ) -> Self {
+    pub(crate) fn new(settings: &Settings, inbox: Inbox, mailboxes: Vec<Sender<Letter>>) -> Self {
         let mut gateway = Gateway::new(settings.entry.clone(), settings.zone.clone());
         let members = BTreeSet::from([settings.entry.clone()]);
         gateway.handle(Event::Members(members), Time::ZERO);
@@ -218,7 +265,17 @@
                 self.threads.remove(&ticket);
                 self.feed(Event::Cancel(ticket));
             }
-            Message::Announced(upstream) => self.feed(Event::Announced(upstream)),
+            Message::Leaving { upstream, leaving } => self.feed(match leaving {
+                true => Event::Announced(upstream),
+                false => Event::Rejoined(upstream),
+            }),
+            Message::Suspect(upstream) => self.feed(Event::Suspect(upstream)),
+            Message::Snapshot(answer) => {
+                let _ = answer.try_send(Snapshot {
+                    status: self.gateway.status(),
+                    offers: self.gateway.offers(),
+                });
+            }
             Message::Control(event) => {
                 if let Event::Adopt(fleet) = &event {
                     self.adopt(fleet);
@@ -302,10 +359,10 @@
                     self.reply(ticket, Reply::Grant(target));
                 }
                 Action::Fail { ticket, kind } => self.reply(ticket, Reply::Refuse(kind)),
-                Action::Connections { .. }
-                | Action::Borrow { .. }
-                | Action::Loan { .. }
-                | Action::Return { .. } => {}
+                Action::Connections { upstream, limit } => self.limit(&upstream, limit),
+                Action::Borrow { .. } | Action::Loan { .. } | Action::Return { .. } => {
+                    let _ = self.inbox.actions.try_send(action);
+                }
             }
         }
     }
@@ -318,13 +375,20 @@
         let granted = matches!(reply, Reply::Grant(_));
         let delivered = thread
             .and_then(|thread| self.mailboxes.get(thread))
-            .is_some_and(|mailbox| mailbox.try_send((ticket, reply)).is_ok());
+            .is_some_and(|mailbox| mailbox.try_send(Letter::Reply(ticket, reply)).is_ok());
         if granted && !delivered {
             self.threads.remove(&ticket);
             self.feed(Event::Cancel(ticket));
         }
     }
 
+    fn limit(&self, upstream: &UpstreamId, limit: u32) {
+        for mailbox in &self.mailboxes {
+            let upstream = upstream.clone();
+            let _ = mailbox.try_send(Letter::Connections { upstream, limit });
+        }
+    }
+
     fn health(&self, upstream: &UpstreamId) -> CompactString {
         self.owners
             .get(upstream)
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -3,39 +3,42 @@
 //! A connection is used again only after a whole answer with the right request
 //! id. Any timeout, cancellation or doubt about the protocol closes it.
 
+mod idle;
 mod link;
 mod pace;
+mod probe;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
+use futures_util::future;
+use futures_util::future::Either;
 use hyper::Request;
 use hyper::Response;
 use wigeonhinge::id::ServiceId;
+use wigeonhinge::id::UpstreamId;
 use wigeonhinge::outcome::Kind;
 
+use crate::dispatch::Desk;
+use crate::dispatch::Message;
 use crate::dispatch::Target;
+use crate::exchange::idle::Idle;
 use crate::exchange::link::Link;
+use crate::exchange::link::Meter;
 use crate::exchange::pace::Pace;
 
 /// Time within which a connection has to be made.
 const CONNECT: Duration = Duration::from_millis(500);
-/// Idle connections to one upstream that are kept, for each I/O thread.
-const IDLE_LINKS: usize = 4;
-/// Time between probes of an idle connection.
-const PROBE_EVERY: Duration = Duration::from_secs(1);
-/// Time within which a probe has to be answered.
-const PROBE: Duration = Duration::from_millis(500);
 /// Time without progress after which a request's upstream is probed.
 const QUIET: Duration = Duration::from_secs(1);
 /// Time without progress after which a connection may be given up.
 const SILENT: Duration = Duration::from_millis(1_500);
-const UPKEEP: Duration = Duration::from_millis(100);
+/// 99th percentiles without progress after which a connection may be given up.
+const SILENT_PACES: u32 = 4;
 
 /// A request on its way to an upstream.
 pub(crate) struct Sending<'a> {
@@ -46,77 +49,70 @@
     pub(crate) deadline: Instant,
 }
 
-/// How sending a request ended.
-pub(crate) struct Sent {
-    pub(crate) result: Result<Response<Bytes>, Kind>,
-    /// Whether the upstream announced that it is leaving.
-    pub(crate) leaving: bool,
-}
-
 /// Upstream connections of one I/O thread.
 pub(crate) struct Pool {
+    desk: Desk,
     answer_bytes: usize,
-    idle: RefCell<BTreeMap<SocketAddr, Vec<Link>>>,
+    idle: RefCell<Idle>,
     paces: RefCell<BTreeMap<ServiceId, Pace>>,
+    /// Upstreams that announced that they are leaving.
+    leaving: RefCell<BTreeMap<UpstreamId, Target>>,
 }
 
 impl Pool {
-    pub(crate) fn new(answer_bytes: usize) -> Rc<Self> {
+    pub(crate) fn new(desk: Desk, answer_bytes: usize, threads: usize) -> Rc<Self> {
         Rc::new(Self {
+            desk,
             answer_bytes,
-            idle: RefCell::default(),
+            idle: RefCell::new(Idle::new(threads)),
             paces: RefCell::default(),
+            leaving: RefCell::default(),
         })
     }
 
-    /// Sends a request and returns the whole answer.
-    pub(crate) async fn exchange(&self, target: &Target, sending: Sending<'_>) -> Sent {
-        let mut leaving = false;
-        let result = self.attempt(target, sending, &mut leaving).await;
-        Sent { result, leaving }
+    /// Sets how many connections the entry may keep to an upstream.
+    pub(crate) fn limit(&self, upstream: UpstreamId, limit: u32) {
+        self.idle.borrow_mut().limit(upstream, limit);
     }
 
-    async fn attempt(
+    /// Sends a request and returns the whole answer.
+    pub(crate) async fn exchange(
         &self,
         target: &Target,
         sending: Sending<'_>,
-        leaving: &mut bool,
     ) -> Result<Response<Bytes>, Kind> {
         let mut link = self.link(target, sending.deadline).await?;
         let start = Instant::now();
         let (deadline, service) = (sending.deadline, sending.service);
         let meter = link.meter();
-        let run = link.run(sending, self.answer_bytes, leaving);
-        let watch = self.silence(target, service, &meter);
-        let answer = compio::time::timeout_at(deadline, async {
-            futures_util::pin_mut!(run, watch);
-            match futures_util::future::select(run, watch).await {
-                futures_util::future::Either::Left((result, _)) => result,
-                futures_util::future::Either::Right(((), _)) => Err(Kind::ConnectionSilent),
-            }
-        })
-        .await
-        .unwrap_or(Err(Kind::DeadlineAfterSend));
-        match answer {
-            Ok(answer) => {
-                self.pace(service, start.elapsed());
-                if !*leaving {
-                    self.keep(link);
-                }
-                Ok(answer)
+        let result = {
+            let run = link.run(sending, self.answer_bytes);
+            let silence = self.silence(target, service, &meter);
+            futures_util::pin_mut!(run, silence);
+            let either = compio::time::timeout_at(deadline, future::select(run, silence));
+            match either.await {
+                Ok(Either::Left((result, _))) => result,
+                Ok(Either::Right(((), _))) => Err(Kind::ConnectionSilent),
+                Err(_) => Err(Kind::DeadlineAfterSend),
             }
-            Err(kind) if meter.untouched() => Err(unsent(kind)),
-            Err(Kind::RefusedByUpstream) => {
+        };
+        self.hear(target, link.leaving);
+        match result {
+            Ok(_) => {
+                self.learn(service, start.elapsed());
                 self.keep(link);
-                Err(Kind::RefusedByUpstream)
             }
-            Err(kind) => Err(kind),
+            Err(Kind::RefusedByUpstream) => self.keep(link),
+            Err(kind) if meter.untouched() => return Err(unsent(kind)),
+            Err(_) => {}
         }
+        result
     }
 
     /// Returns a connection without an exchange on it.
     async fn link(&self, target: &Target, deadline: Instant) -> Result<Link, Kind> {
-        if let Some(link) = self.take(target.address) {
+        let idle = self.idle.borrow_mut().take(target);
+        if let Some(link) = idle {
             return Ok(link);
         }
         let due = deadline.min(Instant::now() + CONNECT);
@@ -128,46 +124,60 @@
         }
     }
 
-    fn take(&self, address: SocketAddr) -> Option<Link> {
-        let mut idle = self.idle.borrow_mut();
-        let links = idle.get_mut(&address)?;
-        links.retain(Link::open_still);
-        let index = links.iter().rposition(Link::ready)?;
-        Some(links.swap_remove(index))
+    /// Keeps a connection for the next exchange, unless its upstream is leaving.
+    fn keep(&self, link: Link) {
+        if !link.leaving {
+            self.idle.borrow_mut().keep(link);
+        }
     }
 
-    fn keep(&self, mut link: Link) {
-        link.meter().rest();
-        let mut idle = self.idle.borrow_mut();
-        let links = idle.entry(link.target().address).or_default();
-        if links.len() < IDLE_LINKS {
-            link.checked = Instant::now();
-            links.push(link);
+    /// Tells the dispatch thread when an upstream starts or stops leaving.
+    fn hear(&self, target: &Target, leaving: bool) {
+        let known = self.leaving.borrow().contains_key(&target.upstream);
+        if known == leaving {
+            return;
+        }
+        let upstream = target.upstream.clone();
+        let mut set = self.leaving.borrow_mut();
+        if leaving {
+            set.insert(upstream.clone(), target.clone());
+        } else {
+            set.remove(&upstream);
         }
+        self.desk.tell(Message::Leaving { upstream, leaving });
     }
 
     /// Completes once the connection of a request must be considered lost.
-    async fn silence(&self, target: &Target, service: &ServiceId, meter: &link::Meter) {
+    ///
+    /// A request without progress may be slow or on a lost connection. A probe on
+    /// a new connection shows that the upstream is reachable; silence far beyond
+    /// the usual service time then points to the connection.
+    async fn silence(&self, target: &Target, service: &ServiceId, meter: &Meter) {
         loop {
             let quiet = meter.quiet();
             if quiet < QUIET {
                 compio::time::sleep(QUIET - quiet).await;
                 continue;
             }
-            let answered = probe_new(target).await;
-            let limit = SILENT.max(4 * self.percentile(service));
-            while answered && meter.quiet() >= QUIET {
+            if !self.reachable(target).await {
+                compio::time::sleep(QUIET).await;
+                continue;
+            }
+            let limit = SILENT.max(SILENT_PACES * self.percentile(service));
+            loop {
                 let quiet = meter.quiet();
+                if quiet < QUIET {
+                    break;
+                }
                 if quiet >= limit {
                     return;
                 }
                 compio::time::sleep(limit - quiet).await;
             }
-            compio::time::sleep(QUIET).await;
         }
     }
 
-    fn pace(&self, service: &ServiceId, time: Duration) {
+    fn learn(&self, service: &ServiceId, time: Duration) {
         let mut paces = self.paces.borrow_mut();
         match paces.get_mut(service) {
             Some(pace) => pace.record(time),
@@ -176,51 +186,9 @@
     }
 
     fn percentile(&self, service: &ServiceId) -> Duration {
-        self.paces
-            .borrow()
-            .get(service)
-            .map_or(Duration::ZERO, Pace::percentile)
-    }
-
-    /// Probes idle connections and closes those that do not answer.
-    pub(crate) async fn upkeep(self: Rc<Self>) {
-        loop {
-            compio::time::sleep(UPKEEP).await;
-            for link in self.due() {
-                let pool = Rc::clone(&self);
-                compio::runtime::spawn(async move { pool.check(link).await }).detach();
-            }
-        }
-    }
-
-    fn due(&self) -> Vec<Link> {
-        let mut due = Vec::new();
-        let mut idle = self.idle.borrow_mut();
-        for links in idle.values_mut() {
-            links.retain(Link::open_still);
-            due.extend(links.extract_if(.., |link| {
-                link.ready() && link.checked.elapsed() >= PROBE_EVERY
-            }));
-        }
-        idle.retain(|_, links| !links.is_empty());
-        due
+        let paces = self.paces.borrow();
+        paces.get(service).map_or(Duration::ZERO, Pace::percentile)
     }
-
-    async fn check(&self, mut link: Link) {
-        if let Ok(true) = compio::time::timeout(PROBE, link.probe()).await {
-            self.keep(link);
-        }
-    }
-}
-
-async fn probe_new(target: &Target) -> bool {
-    let probe = async {
-        match Link::open(target).await {
-            Ok(mut link) => link.probe().await,
-            Err(_) => false,
-        }
-    };
-    compio::time::timeout(PROBE, probe).await.unwrap_or(false)
 }
 
 /// Returns the kind of a failure before any byte was written.
--- a/crates/daemon/src/exchange/link.rs
+++ b/crates/daemon/src/exchange/link.rs
@@ -54,6 +54,8 @@
     meter: Rc<Meter>,
     /// When the connection was last known to answer.
     pub(super) checked: Instant,
+    /// Whether the last answer announced that the upstream is leaving.
+    pub(super) leaving: bool,
     _task: JoinHandle<()>,
 }
 
@@ -120,6 +122,7 @@
             sender,
             meter,
             checked: Instant::now(),
+            leaving: false,
             _task: task,
         })
     }
@@ -132,10 +135,17 @@
         Rc::clone(&self.meter)
     }
 
-    pub(super) fn open_still(&self) -> bool {
+    /// Returns whether the connection is open.
+    pub(super) fn alive(&self) -> bool {
         !self.sender.is_closed()
     }
 
+    /// Returns whether the connection is open and leads to a target.
+    pub(super) fn usable(&self, target: &Target) -> bool {
+        self.alive() && self.target.address == target.address
+    }
+
+    /// Returns whether the connection can take an exchange.
     pub(super) fn ready(&self) -> bool {
         self.sender.is_ready()
     }
@@ -146,7 +156,6 @@
         &mut self,
         sending: Sending<'_>,
         limit: usize,
-        leaving: &mut bool,
     ) -> Result<Response<Bytes>, Kind> {
         self.meter.rest();
         let (mut parts, ()) = sending.request.into_parts();
@@ -158,9 +167,7 @@
         let response = self.sender.send_request(request).await;
         let response = response.map_err(|error| self.lost(&error))?;
         let (parts, body) = response.into_parts();
-        if is(&parts.headers, &LEAVING, "true") {
-            *leaving = true;
-        }
+        self.leaving = is(&parts.headers, &LEAVING, "true");
         if !is(&parts.headers, &REQUEST_ID, sending.id) {
             return Err(Kind::AnswerMismatch);
         }
@@ -183,7 +190,11 @@
         let Ok(request) = request else {
             return false;
         };
-        self.sender.send_request(request).await.is_ok()
+        let Ok(response) = self.sender.send_request(request).await else {
+            return false;
+        };
+        self.leaving = is(response.headers(), &LEAVING, "true");
+        true
     }
 
     fn lost(&self, error: &hyper::Error) -> Kind {
--- a/crates/daemon/src/flow.rs
+++ b/crates/daemon/src/flow.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use compact_str::format_compact;
+use flume::Receiver;
 use flume::Sender;
 use http_body_util::BodyExt;
 use hyper::Request;
@@ -27,8 +28,8 @@
 use wigeonhinge::outcome::Run;
 
 use crate::dispatch::Desk;
+use crate::dispatch::Letter;
 use crate::dispatch::Message;
-use crate::dispatch::Replies;
 use crate::dispatch::Reply;
 use crate::exchange::Pool;
 use crate::exchange::Sending;
@@ -59,20 +60,29 @@
         })
     }
 
-    /// Passes the replies of the dispatch thread on to the requests that wait for them.
-    pub(crate) async fn route(self: Rc<Self>, replies: Replies) {
-        while let Ok((ticket, reply)) = replies.recv_async().await {
-            let waiting = self.waiting.borrow();
-            let delivered = waiting
-                .get(&ticket)
-                .is_some_and(|waiter| waiter.try_send(reply).is_ok());
-            drop(waiting);
-            if !delivered {
-                self.desk.tell(Message::Cancel(ticket));
+    /// Passes the messages of the dispatch thread on to those that they concern.
+    pub(crate) async fn route(self: Rc<Self>, letters: Receiver<Letter>) {
+        while let Ok(letter) = letters.recv_async().await {
+            match letter {
+                Letter::Reply(ticket, reply) => self.deliver(ticket, reply),
+                Letter::Connections { upstream, limit } => self.pool.limit(upstream, limit),
             }
         }
     }
 
+    /// Passes a decision on; a grant that nobody waits for is given back.
+    fn deliver(&self, ticket: Ticket, reply: Reply) {
+        let granted = matches!(reply, Reply::Grant(_));
+        let delivered = self
+            .waiting
+            .borrow()
+            .get(&ticket)
+            .is_some_and(|waiter| waiter.try_send(reply).is_ok());
+        if granted && !delivered {
+            self.desk.tell(Message::Cancel(ticket));
+        }
+    }
+
     /// Serves one request; `began` is when its first byte arrived.
     pub(crate) async fn serve(
         &self,
@@ -112,10 +122,7 @@
                 deadline,
             };
             let sent = self.pool.exchange(&target, sending).await;
-            if sent.leaving {
-                self.desk.tell(Message::Announced(target.upstream));
-            }
-            match sent.result {
+            match sent {
                 Ok(answer) => {
                     let failed = answer.status().is_server_error();
                     pending.answered(Sent::Answered { failed });
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -42,7 +42,7 @@
 
 use crate::daemon::Phase;
 use crate::dispatch::Desk;
-use crate::dispatch::Replies;
+use crate::dispatch::Letter;
 use crate::exchange::Pool;
 use crate::flow::Flow;
 use crate::listen::guard::Guard;
@@ -84,6 +84,7 @@
     phase: Phase,
     desk: Desk,
     counts: Arc<Counts>,
+    threads: usize,
 }
 
 impl Shared {
@@ -93,6 +94,7 @@
             phase,
             desk,
             counts: Arc::new(Counts::new(settings.limits)),
+            threads: settings.threads,
         }
     }
 }
@@ -142,7 +144,7 @@
 pub(crate) fn spawn(
     index: usize,
     socket: Socket,
-    replies: Replies,
+    letters: Receiver<Letter>,
     shared: Shared,
 ) -> io::Result<Thread> {
     let (orders, inbox) = flume::unbounded();
@@ -150,7 +152,7 @@
         .name(format!("io-{index}"))
         .spawn(move || {
             let runtime = runtime().expect("a runtime needs a poller only");
-            runtime.block_on(run(index, socket, replies, shared, inbox));
+            runtime.block_on(run(index, socket, letters, shared, inbox));
         })?;
     Ok(Thread { orders, handle })
 }
@@ -164,17 +166,21 @@
 async fn run(
     index: usize,
     socket: Socket,
-    replies: Replies,
+    letters: Receiver<Letter>,
     shared: Shared,
     orders: Receiver<Order>,
 ) {
     let Ok(listener) = TcpListener::from_std(socket) else {
         return;
     };
-    let pool = Pool::new(shared.limits.answer_bytes);
+    let pool = Pool::new(
+        shared.desk.clone(),
+        shared.limits.answer_bytes,
+        shared.threads,
+    );
     let _upkeep = compio::runtime::spawn(Rc::clone(&pool).upkeep());
     let flow = Flow::new(index, shared.desk.clone(), pool, shared.limits);
-    let _router = compio::runtime::spawn(Rc::clone(&flow).route(replies));
+    let _router = compio::runtime::spawn(Rc::clone(&flow).route(letters));
     let (finish, finished) = flume::bounded(0);
     let server = Rc::new(Server {
         flow,
