--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,69 @@
+//! Settings files.
+
+use std::fs;
+use std::path::PathBuf;
+
+use rstest::rstest;
+use wigeonhinged::Settings;
+use wigeonhinged::settings;
+
+/// Guards against a default that is not applied to an absent setting.
+#[test]
+fn settings_defaults() {
+    let path = write(
+        "defaults",
+        r#"{ // entry
+        "entry": "e1", "zone": "z", "listen": "127.0.0.1:0", "limits": {"receive_ms": 200}}"#,
+    );
+    let settings = Settings::open(&path).unwrap();
+    assert_eq!(settings.threads, settings::THREADS);
+    assert_eq!(settings.limits.body_bytes, settings::BODY_BYTES);
+    assert_eq!(settings.limits.receive.as_millis(), 200);
+}
+
+/// Guards against a fault without its place, its value or what was expected.
+#[rstest]
+#[case("{\n \"entry\": 7}", "2:11: entry: value 7; expected a text")]
+#[case(
+    "{\"limits\": {\"body_bytes\": -1}}",
+    "1:27: limits.body_bytes: value -1; expected a whole number"
+)]
+#[case(
+    "{\"limits\":\n{\"size\": 1}}",
+    "2:2: limits: value \"size\"; expected one of header_bytes"
+)]
+#[case(
+    "{\"entry\": \"e\", \"entry\": \"f\"}",
+    "1:16: value \"entry\"; expected each name once"
+)]
+#[case(
+    "{\"entry\": \"e\", \"zone\": \"z\",\n \"listen\": \"here\"}",
+    "2:12: listen: value \"here\"; expected IP:port"
+)]
+#[case(
+    "{\"entry\": \"e\"}",
+    "1:1: zone: value \"\"; expected a name of letters"
+)]
+#[case("{\"entry\": \"e\"\n \"zone\" 1}", "2:9: value")]
+fn settings_fault(#[case] text: &str, #[case] expected: &str) {
+    let path = write(&format!("fault-{}", expected.len()), text);
+    let error = Settings::open(&path).unwrap_err().to_string();
+    let expected = format!("{}:{expected}", path.display());
+    assert!(error.contains(&expected), "{error}\nlacks\n{expected}");
+}
+
+/// Guards against stopping at the first of several faults.
+#[test]
+fn settings_every_fault() {
+    let path = write("every", r#"{"entry": "", "listen": "x", "threads": 65}"#);
+    let error = Settings::open(&path).unwrap_err();
+    let paths: Vec<&str> = error.faults().iter().map(|it| it.path.as_str()).collect();
+    assert_eq!(paths, ["listen", "entry", "zone", "threads"]);
+}
+
+fn write(name: &str, text: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = folder.join(format!("{name}.jsonc"));
+    fs::write(&path, text).unwrap();
+    path
+}
--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod ledger;
 pub mod membership;
 pub mod outcome;
+pub mod outcome;
 pub mod retry;
 pub mod role;
 pub mod route;
