--- a/crates/wigeonhinge/src/controller/advance.rs
+++ b/crates/wigeonhinge/src/controller/advance.rs
@@ -23,7 +23,8 @@
     pub(super) fn advance(&self, draft: &mut Draft<'_>, facts: &Facts<'_>) {
         let vms = draft.ledger().vms().to_vec();
         for vm in vms.iter().filter(|vm| failed(vm, facts)) {
-            draft.apply(Change::MarkDown { vm: name(vm) }, "not usable");
+            let (change, reason) = failure(vm, facts);
+            draft.apply(change, reason);
         }
         let running = draft.ledger().wave_running();
         for vm in vms.iter().filter(|vm| !failed(vm, facts)) {
@@ -139,6 +140,20 @@
     }
 }
 
+/// Returns how a failure is recorded: a worker that fails between its reboot and its return came
+/// back broken.
+fn failure(vm: &VmState, facts: &Facts<'_>) -> (Change, &'static str) {
+    let rebooted = vm.phase() == Phase::Returning && vm.maintained_ms == vm.since_ms;
+    match facts.report(vm) {
+        Some(worker) if rebooted && !worker.healthy => {
+            let boot = worker.boot;
+            let vm = name(vm);
+            (Change::Quarantine { vm, boot }, "broken after its reboot")
+        }
+        _ => (Change::MarkDown { vm: name(vm) }, "not usable"),
+    }
+}
+
 /// Decides on a rebooting VM whose worker is silent.
 fn silent(vm: &VmState, facts: &Facts<'_>) -> Vec<(Change, &'static str)> {
     if !passed(vm, facts) {
--- a/crates/wigeonhinge/src/ledger.rs
+++ b/crates/wigeonhinge/src/ledger.rs
@@ -222,12 +222,14 @@
         }
         let now_ms = millis(now);
         let vm = &mut self.doc.vms[index];
+        let returned = phase == Phase::Returning && vm.maintained_ms == vm.since_ms;
+        let rebooted = returned || phase == Phase::Rebooting;
         update(vm, change, now_ms);
         vm.set_phase(next);
         vm.since_ms = now_ms;
         vm.fence = fence;
         vm.step += 1;
-        if matches!(change, Change::Quarantine { .. }) && phase == Phase::Rebooting {
+        if matches!(change, Change::Quarantine { .. }) && rebooted {
             self.count_broken();
         }
         Ok(())
--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -12,14 +12,15 @@
 //! - [`scheduler`] decides on the jobs of a pool.
 //! - [`outcome`] lists the error kinds of requests and their answers.
 
-pub mod config;
 pub mod buffer;
+pub mod config;
 pub mod controller;
 pub mod error;
 pub mod fleet;
 pub mod gateway;
 pub mod id;
 pub mod ledger;
+pub mod moves;
 pub mod outcome;
 pub mod scheduler;
 pub mod share;
--- /dev/null
+++ b/crates/wigeonhinge/tests/controller.rs
@@ -0,0 +1,220 @@
+//! Guards the fleet controller against each failure that touches the fleet, alone and in pairs.
+
+#[allow(dead_code)]
+#[path = "support/failure.rs"]
+mod failure;
+#[allow(dead_code)]
+#[path = "support/world.rs"]
+mod world;
+
+use rstest::rstest;
+use wigeonhinge_schema::ledger::Phase;
+use wigeonhinge_schema::ledger::WaveState;
+
+use crate::failure::FAILURES;
+use crate::failure::Failure;
+use crate::world::World;
+
+fn state(world: &World) -> Option<WaveState> {
+    world.ledger.wave().map(|wave| wave.state())
+}
+
+fn settled(world: &World) -> bool {
+    let all = world.ledger.vms().iter();
+    let mut open = all.filter(|vm| vm.phase() != Phase::Active);
+    state(world) == Some(WaveState::Done) && open.next().is_none()
+}
+
+/// Runs a wave through two overlapping failures that begin after some ticks.
+fn run_wave(first: Failure, second: Failure, after: u32) -> World {
+    let mut world = World::new();
+    world.start_wave("w1");
+    world.run(after);
+    first.begin(&mut world);
+    world.run(7);
+    if second != first {
+        second.begin(&mut world);
+    }
+    world.run(40);
+    first.end(&mut world);
+    world.run(11);
+    if second != first {
+        second.end(&mut world);
+    }
+    let what = format!("{first:?} and {second:?} after {after}");
+    world.until(3000, &what, settled);
+    assert!(world.faults.is_empty(), "{what}: {:?}", world.faults);
+    world
+}
+
+/// A wave ends, and every VM is active again, after any two failures that overlap.
+#[rstest]
+fn step_survives_pairs(#[values(3, 9, 17, 31)] after: u32) {
+    for first in FAILURES {
+        for second in FAILURES {
+            run_wave(first, second, after);
+        }
+    }
+}
+
+/// Without a lease or without the store nothing is written and no order is given.
+#[rstest]
+#[case::no_lease(false, true)]
+#[case::no_store(true, false)]
+fn step_holds(#[case] lease: bool, #[case] store: bool) {
+    let mut world = World::new();
+    world.start_wave("w1");
+    world.until(100, "a reboot", |world| {
+        world
+            .ledger
+            .vms()
+            .iter()
+            .any(|vm| vm.phase() == Phase::Rebooting)
+    });
+    world.seats[0].fence = lease.then_some(1);
+    world.store_up = store;
+    let before = world.version;
+    world.start_wave("w2");
+    world.run(50);
+    assert_eq!(world.version, before);
+    assert!(!world.refused.is_empty());
+    world.seats[0].fence = Some(1);
+    world.store_up = true;
+    world.until(3000, "the end of the wave", settled);
+}
+
+/// A new holder writes its fence before its first order: until then the ledger it has read may be
+/// behind the last write of the earlier holder.
+#[test]
+fn step_claims_first() {
+    let mut world = World::new();
+    world.start_wave("w1");
+    world.until(50, "a drain", |world| {
+        world
+            .ledger
+            .vms()
+            .iter()
+            .any(|vm| vm.phase() == Phase::Draining)
+    });
+    world.seats[0].fence = None;
+    world.seats[1].fence = Some(7);
+    world.seats[1].view = Some((world.version, world.ledger.clone()));
+    let first = world.output(1);
+    assert!(first.orders.is_empty());
+    let write = first.write.expect("claim");
+    assert_eq!(write.ledger.document().fence, 7);
+    assert!(world.write(write.expect, write.ledger));
+    world.until(3000, "the end of the wave", settled);
+}
+
+/// A controller whose role has a later holder acts on nothing.
+#[test]
+fn step_deposed() {
+    let mut world = World::new();
+    world.seats[1].fence = Some(9);
+    world.seats[0].paused = true;
+    world.run(1);
+    world.seats[0].paused = false;
+    world.seats[0].view = Some((world.version, world.ledger.clone()));
+    let output = world.output(0);
+    assert!(output.write.is_none() && output.orders.is_empty());
+}
+
+/// A VM that fails counts as down and is admitted again once the list and its worker agree.
+#[test]
+fn step_readmits() {
+    let mut world = World::new();
+    world.set_lost("crews-3", true);
+    world.until(20, "down", |world| {
+        world.phase("crews-3") == Some(Phase::Down)
+    });
+    world.set_lost("crews-3", false);
+    world.until(20, "active", |world| {
+        world.phase("crews-3") == Some(Phase::Active)
+    });
+}
+
+/// When most workers are silent the controller itself is cut off: it marks nothing as down and
+/// starts nothing.
+#[test]
+fn step_blind() {
+    let mut world = World::new();
+    world.cut = ["a", "b", "c"].map(String::from).into();
+    world.run(10);
+    world.start_wave("w1");
+    world.run(60);
+    assert!(
+        world
+            .ledger
+            .vms()
+            .iter()
+            .all(|vm| vm.phase() == Phase::Active)
+    );
+}
+
+/// An active worker that refuses work is not counted as available, whoever cordoned it.
+#[test]
+fn step_strange_cordon() {
+    let mut world = World::new();
+    let machine = world.machines.get_mut("crews-1").expect("machine");
+    machine.report.cordoned = true;
+    world.poll();
+    world.decide(0);
+    assert_eq!(world.phase("crews-1"), Some(Phase::Down));
+    world.until(20, "active", |world| {
+        world.phase("crews-1") == Some(Phase::Active)
+    });
+}
+
+/// A list that lags starts no disruption, because VMs that it does not show yet may be gone.
+#[test]
+fn step_stale_list() {
+    let mut world = World::new();
+    world.list_lags = true;
+    world.run(40);
+    world.start_wave("w1");
+    world.run(40);
+    assert_eq!(
+        world
+            .ledger
+            .counts()
+            .values()
+            .map(|count| count.unavailable())
+            .sum::<u32>(),
+        0
+    );
+}
+
+/// Inventory edits cordon and drain under the budget, and a removed VM that is listed again is
+/// admitted.
+#[test]
+fn step_inventory_edits() {
+    let mut world = World::new();
+    world.edit();
+    world.until(200, "edit followed", |world| {
+        let moved = world.ledger.vm("spare-6").map(|vm| vm.pool.as_str()) == Some("quoting");
+        moved && world.ledger.vm("crews-7").is_none()
+    });
+    world.edit();
+    world.until(200, "edit undone", |world| {
+        let moved = world.ledger.vm("spare-6").map(|vm| vm.pool.as_str()) == Some("spare");
+        moved && world.phase("crews-7") == Some(Phase::Active)
+    });
+    assert!(world.faults.is_empty(), "{:?}", world.faults);
+}
+
+/// A write whose answer was lost is neither repeated nor logged twice.
+#[test]
+fn step_answer_lost() {
+    let mut world = World::new();
+    world.lose_answer = true;
+    world.start_wave("w1");
+    world.run(2);
+    let wave = world.ledger.wave().expect("wave").clone();
+    world.run(2);
+    assert_eq!(
+        world.ledger.wave().map(|wave| wave.started_ms),
+        Some(wave.started_ms)
+    );
+    assert!(world.refused.is_empty(), "{:?}", world.refused);
+}
--- /dev/null
+++ b/crates/wigeonhinge/tests/support/world.rs
@@ -0,0 +1,476 @@
+//! In-process store, workers and VM list around fleet controllers, with an oracle.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use wigeonhinge::controller::Action;
+use wigeonhinge::controller::Controller;
+use wigeonhinge::controller::Input;
+use wigeonhinge::controller::ListState;
+use wigeonhinge::controller::Order;
+use wigeonhinge::controller::Output;
+use wigeonhinge::controller::Request;
+use wigeonhinge::controller::Timing;
+use wigeonhinge::controller::VmList;
+use wigeonhinge::controller::Worker;
+use wigeonhinge::id::Time;
+use wigeonhinge::id::VmId;
+use wigeonhinge::ledger::Change;
+use wigeonhinge::ledger::Ledger;
+use wigeonhinge::ledger::WaveChange;
+use wigeonhinge_schema::fleet::Fleet;
+use wigeonhinge_schema::fleet::Pool;
+use wigeonhinge_schema::fleet::Rules;
+use wigeonhinge_schema::fleet::Vm;
+use wigeonhinge_schema::fleet::Zone;
+use wigeonhinge_schema::ledger::Phase;
+
+const BOOT: Duration = Duration::from_secs(60);
+const TICK: Duration = Duration::from_secs(2);
+
+/// A worker and what is wrong with it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Machine {
+    pub(crate) report: Worker,
+    pub(crate) fence: u64,
+    pub(crate) booted: Option<Time>,
+    pub(crate) lost: bool,
+    pub(crate) broken: bool,
+    /// Whether a broken worker is healthy in its first report after a reboot.
+    pub(crate) late: bool,
+    pub(crate) stuck: bool,
+}
+
+/// A controller and its view.
+#[derive(Clone, Debug)]
+pub(crate) struct Seat {
+    pub(crate) controller: Controller,
+    pub(crate) fence: Option<u64>,
+    pub(crate) paused: bool,
+    pub(crate) view: Option<(u64, Ledger)>,
+    pub(crate) held: Output,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct World {
+    pub(crate) now: Time,
+    pub(crate) fleet: Fleet,
+    pub(crate) revision: u64,
+    pub(crate) version: u64,
+    pub(crate) ledger: Ledger,
+    pub(crate) store_up: bool,
+    pub(crate) lose_answer: bool,
+    pub(crate) refuse_orders: bool,
+    pub(crate) cut: BTreeSet<String>,
+    pub(crate) list_lags: bool,
+    pub(crate) list: VmList,
+    pub(crate) machines: BTreeMap<VmId, Machine>,
+    pub(crate) seats: Vec<Seat>,
+    pub(crate) reports: BTreeMap<VmId, Worker>,
+    pub(crate) requests: Vec<Request>,
+    pub(crate) refused: Vec<String>,
+    pub(crate) faults: Vec<String>,
+    pub(crate) audit: BTreeSet<String>,
+}
+
+/// Returns a fleet of three pools in three zones; each rack holds VMs of several pools.
+pub(crate) fn fleet() -> Fleet {
+    let zones = ["a", "b", "c"].map(|name| Zone {
+        name: name.into(),
+        region: "north".into(),
+    });
+    let pools = [
+        ("crews", 8, 2, 6, false),
+        ("quoting", 8, 2, 6, false),
+        ("spare", 8, 2, 2, true),
+    ];
+    let mut inventory = Vec::new();
+    let rules = Rules {
+        zones: zones.to_vec(),
+        pools: pools.map(pool).to_vec(),
+        ..Rules::default()
+    };
+    for (name, size, ..) in pools {
+        for number in 0..size {
+            inventory.push(vm(name, number, inventory.len()));
+        }
+    }
+    Fleet {
+        rules: Some(rules),
+        inventory,
+        upstreams: Vec::new(),
+    }
+}
+
+fn pool((name, _, budget, promised, spare): (&str, usize, u32, u32, bool)) -> Pool {
+    Pool {
+        name: name.into(),
+        max_unavailable: budget,
+        promised,
+        spare,
+        ..Pool::default()
+    }
+}
+
+fn vm(pool: &str, number: usize, rack: usize) -> Vm {
+    Vm {
+        name: format!("{pool}-{number}"),
+        pool: pool.into(),
+        zone: ["a", "b", "c"][rack % 3].into(),
+        rack: format!("r{}", rack % 6),
+        cores: 16,
+        ..Vm::default()
+    }
+}
+
+impl World {
+    /// Returns a world whose VMs are all active under one controller, seat 0 with fence 1.
+    pub(crate) fn new() -> Self {
+        let mut world = Self::empty(fleet());
+        world.run(6);
+        assert!(
+            world
+                .ledger
+                .vms()
+                .iter()
+                .all(|vm| vm.phase() == Phase::Active)
+        );
+        world
+    }
+
+    fn empty(fleet: Fleet) -> Self {
+        let machines = fleet
+            .inventory
+            .iter()
+            .map(|vm| (VmId::from(vm.name.as_str()), Machine::default()))
+            .collect();
+        Self {
+            now: Duration::from_secs(1_000_000),
+            fleet,
+            revision: 1,
+            version: 0,
+            ledger: Ledger::new("north"),
+            store_up: true,
+            lose_answer: false,
+            refuse_orders: false,
+            cut: BTreeSet::new(),
+            list_lags: false,
+            list: VmList::default(),
+            machines,
+            seats: vec![seat("e0", Some(1)), seat("e1", None)],
+            reports: BTreeMap::new(),
+            requests: Vec::new(),
+            refused: Vec::new(),
+            faults: Vec::new(),
+            audit: BTreeSet::new(),
+        }
+    }
+
+    /// Passes a number of ticks.
+    pub(crate) fn run(&mut self, ticks: u32) {
+        for _ in 0..ticks {
+            self.tick();
+        }
+    }
+
+    /// Passes ticks until a condition holds; fails after the given number.
+    pub(crate) fn until(&mut self, ticks: u32, what: &str, done: impl Fn(&Self) -> bool) {
+        for _ in 0..ticks {
+            if done(self) {
+                return;
+            }
+            self.tick();
+        }
+        let wave = self.ledger.wave();
+        let mut phases: BTreeMap<Phase, usize> = BTreeMap::new();
+        for vm in self.ledger.vms() {
+            *phases.entry(vm.phase()).or_default() += 1;
+        }
+        let faults = &self.faults;
+        panic!("not reached: {what}; {wave:?}; {phases:?}; faults {faults:?}");
+    }
+
+    /// Passes a tick: machines, polls, then each controller in turn.
+    pub(crate) fn tick(&mut self) {
+        self.now += TICK;
+        for machine in self.machines.values_mut() {
+            machine.tick(self.now);
+        }
+        self.poll();
+        for index in 0..self.seats.len() {
+            self.decide(index);
+        }
+        self.check_workers();
+    }
+
+    /// Lets one controller decide and carries out what it gives back.
+    pub(crate) fn decide(&mut self, index: usize) {
+        if self.seats[index].paused {
+            return;
+        }
+        if self.store_up {
+            self.seats[index].view = Some((self.version, self.ledger.clone()));
+        }
+        let output = self.output(index);
+        if index == self.holder() {
+            let refused = output.refused.iter().flatten();
+            self.refused.extend(refused.map(ToString::to_string));
+        }
+        self.deliver(output.orders);
+        if let Some(write) = output.write {
+            let audit = write.records.into_iter().map(|record| record.id);
+            if self.write(write.expect, write.ledger) {
+                self.audit.extend(audit);
+                self.requests.clear();
+            }
+        }
+    }
+
+    pub(crate) fn output(&mut self, index: usize) -> Output {
+        let store_up = self.store_up;
+        let seat = &mut self.seats[index];
+        let view = seat.view.as_ref().filter(|_| store_up);
+        seat.controller.step(&Input {
+            now: self.now,
+            fence: seat.fence,
+            ledger: view.map(|(version, ledger)| (*version, ledger)),
+            revision: self.revision,
+            fleet: &self.fleet,
+            list: &self.list,
+            workers: &self.reports,
+            requests: &self.requests,
+        })
+    }
+
+    /// Pauses the holder with a decision in hand; the other controller takes the role.
+    pub(crate) fn lapse(&mut self) {
+        let holder = self.holder();
+        if self.seats[1 - holder].paused {
+            return;
+        }
+        self.seats[holder].held = self.output(holder);
+        self.seats[holder].paused = true;
+        let fence = self.seats[holder].fence.map(|fence| fence + 1);
+        self.seats[1 - holder].fence = fence;
+    }
+
+    /// Wakes a paused controller, which acts on its old decision before it notices.
+    pub(crate) fn wake(&mut self) {
+        let Some(index) = self.seats.iter().position(|seat| seat.paused) else {
+            return;
+        };
+        let held = std::mem::take(&mut self.seats[index].held);
+        self.deliver(held.orders);
+        if let Some(write) = held.write {
+            self.write(write.expect, write.ledger);
+        }
+        self.seats[index].paused = false;
+        self.decide(index);
+        self.seats[index].fence = None;
+    }
+
+    pub(crate) fn holder(&self) -> usize {
+        usize::from(self.seats[1].fence > self.seats[0].fence)
+    }
+
+    /// Edits the inventory: one VM leaves the fleet or returns, another changes its pool.
+    pub(crate) fn edit(&mut self) {
+        self.revision += 1;
+        let mut fleet = fleet();
+        if self.revision.is_multiple_of(2) {
+            let rules = fleet.rules.as_mut().expect("rules");
+            rules.pools[0].promised = 5;
+            fleet.inventory.retain(|vm| vm.name != "crews-7");
+            for vm in fleet.inventory.iter_mut().filter(|vm| vm.name == "spare-6") {
+                vm.pool = "quoting".into();
+            }
+        }
+        self.fleet = fleet;
+    }
+
+    /// Replaces the ledger by compare-and-swap; returns whether the writer learns of its success.
+    pub(crate) fn write(&mut self, expect: u64, ledger: Ledger) -> bool {
+        if !self.store_up || expect != self.version {
+            return false;
+        }
+        self.check_write(&ledger);
+        self.version += 1;
+        self.ledger = ledger;
+        !std::mem::take(&mut self.lose_answer)
+    }
+
+    /// Carries orders to the workers that can be reached.
+    pub(crate) fn deliver(&mut self, orders: Vec<Order>) {
+        if self.refuse_orders {
+            return;
+        }
+        for order in orders {
+            let zone = self.zone(&order.vm);
+            if self.cut.contains(&zone) {
+                continue;
+            }
+            if let Some(machine) = self.machines.get_mut(&order.vm) {
+                machine.obey(&order, self.now);
+            }
+        }
+    }
+
+    /// Asks for a wave.
+    pub(crate) fn start_wave(&mut self, id: &str) {
+        let before = self.now;
+        let (id, author) = (id.into(), "operator".into());
+        self.ask(Change::Wave(WaveChange::Start { id, author, before }));
+    }
+
+    pub(crate) fn ask(&mut self, change: Change) {
+        self.requests.push(Request {
+            author: "operator".into(),
+            reason: "test".into(),
+            change,
+        });
+    }
+
+    /// Makes the VMs of a rack fail or return.
+    pub(crate) fn set_rack(&mut self, rack: &str, lost: bool) -> Vec<VmId> {
+        let names: Vec<VmId> = self
+            .fleet
+            .inventory
+            .iter()
+            .filter(|vm| vm.rack == rack)
+            .map(|vm| VmId::from(vm.name.as_str()))
+            .collect();
+        for name in &names {
+            self.set_lost(name, lost);
+        }
+        names
+    }
+
+    pub(crate) fn set_lost(&mut self, name: &str, lost: bool) {
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.lost = lost;
+        }
+    }
+
+    pub(crate) fn phase(&self, name: &str) -> Option<Phase> {
+        self.ledger.vm(name).map(|vm| vm.phase())
+    }
+
+    pub(crate) fn maintained(&self) -> usize {
+        let start = self.ledger.wave().map_or(u64::MAX, |wave| wave.started_ms);
+        let vms = self.ledger.vms().iter();
+        vms.filter(|vm| vm.maintained_ms >= start).count()
+    }
+
+    fn zone(&self, name: &str) -> String {
+        let vm = self.fleet.inventory.iter().find(|vm| vm.name == name);
+        vm.map_or(String::new(), |vm| vm.zone.clone())
+    }
+
+    pub(crate) fn poll(&mut self) {
+        let names: Vec<VmId> = self.machines.keys().cloned().collect();
+        for name in names {
+            let machine = &self.machines[&name];
+            if machine.lost || machine.booted.is_some() || self.cut.contains(&self.zone(&name)) {
+                continue;
+            }
+            let mut report = self.machines[&name].report;
+            report.at = self.now;
+            self.reports.insert(name, report);
+        }
+        if self.list_lags {
+            return;
+        }
+        self.list.as_of = self.now;
+        for (name, machine) in &self.machines {
+            let state = if machine.lost {
+                ListState::Gone
+            } else {
+                ListState::Live
+            };
+            self.list.vms.insert(name.clone(), state);
+        }
+    }
+
+    /// Compares a write with the value it replaces: no pool loses a VM by choice beyond its rules,
+    /// and every VM is in one pool.
+    fn check_write(&mut self, next: &Ledger) {
+        let mut names = BTreeSet::new();
+        for vm in next.vms() {
+            if !names.insert(vm.name.clone()) || !next.pools().iter().any(|p| p.name == vm.pool) {
+                self.faults.push(format!("{} is not in one pool", vm.name));
+            }
+        }
+        for pool in next.pools() {
+            let members = || next.vms().iter().filter(|vm| vm.pool == pool.name);
+            let taken = members().any(|vm| {
+                let before = self.ledger.vm(&vm.name).map(|vm| vm.phase());
+                before == Some(Phase::Active)
+                    && !matches!(vm.phase(), Phase::Active | Phase::Down | Phase::Quarantined)
+            });
+            let active = members().filter(|vm| vm.phase() == Phase::Active).count();
+            let out = members().count() - active;
+            if taken && (out > pool.max_unavailable as usize || active < pool.promised as usize) {
+                self.faults
+                    .push(format!("budget of {}: {out} out", pool.name));
+            }
+        }
+    }
+
+    /// Checks that no order has taken a worker out of service that the ledger counts as active.
+    fn check_workers(&mut self) {
+        for vm in self
+            .ledger
+            .vms()
+            .iter()
+            .filter(|vm| vm.phase() == Phase::Active)
+        {
+            let machine = &self.machines[vm.name.as_str()];
+            if machine.booted.is_some() || machine.report.cordoned {
+                self.faults
+                    .push(format!("{} is out of service unrecorded", vm.name));
+            }
+        }
+    }
+}
+
+impl Machine {
+    fn tick(&mut self, now: Time) {
+        self.report.tasks = u32::from(self.stuck);
+        if self.booted.is_some_and(|end| end <= now) && !self.lost {
+            self.booted = None;
+            self.report.boot += 1;
+            self.report.step = 0;
+            self.report.cordoned = false;
+            self.report.healthy = !self.broken || self.late;
+            return;
+        }
+        self.report.healthy = !(self.broken && self.report.boot > 0);
+    }
+
+    /// Follows an order unless a later one was seen; a reboot clears what the worker remembers.
+    pub(crate) fn obey(&mut self, order: &Order, now: Time) {
+        let late = order.fence < self.fence || order.step < self.report.step;
+        if self.lost || self.booted.is_some() || late {
+            return;
+        }
+        self.fence = order.fence;
+        self.report.step = order.step;
+        match order.action {
+            Action::Cordon => self.report.cordoned = true,
+            Action::Uncordon => self.report.cordoned = false,
+            Action::Reboot => self.booted = Some(now + BOOT),
+            Action::Drain => {}
+        }
+    }
+}
+
+fn seat(entry: &str, fence: Option<u64>) -> Seat {
+    Seat {
+        controller: Controller::new("north", entry, Timing::default()),
+        fence,
+        paused: false,
+        view: None,
+        held: Output::default(),
+    }
+}
--- /dev/null
+++ b/crates/wigeonhinge/tests/wave.rs
@@ -0,0 +1,225 @@
+//! Guards the maintenance wave: its steps, its controls and its reasons to pause.
+
+#[allow(dead_code)]
+#[path = "support/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use wigeonhinge::buffer::Headroom;
+use wigeonhinge::ledger::Change;
+use wigeonhinge::ledger::WaveChange;
+use wigeonhinge::wave;
+use wigeonhinge::wave::Progress;
+use wigeonhinge_schema::ledger::Phase;
+use wigeonhinge_schema::ledger::WaveState;
+
+use crate::world::World;
+
+fn state(world: &World) -> Option<WaveState> {
+    world.ledger.wave().map(|wave| wave.state())
+}
+
+fn reason(world: &World) -> &str {
+    world.ledger.wave().map_or("", |wave| wave.reason.as_str())
+}
+
+fn started() -> World {
+    let mut world = World::new();
+    world.start_wave("w1");
+    world
+}
+
+fn done(world: &World) -> bool {
+    state(world) == Some(WaveState::Done)
+}
+
+fn in_phase(world: &World, phase: Phase) -> usize {
+    world
+        .ledger
+        .vms()
+        .iter()
+        .filter(|vm| vm.phase() == phase)
+        .count()
+}
+
+#[test]
+fn next_maintains_all() {
+    let mut world = started();
+    world.until(1000, "done", done);
+    assert_eq!(world.maintained(), 24);
+    assert!(world.faults.is_empty(), "{:?}", world.faults);
+}
+
+/// Every pool is kept at its budget, so that the wave takes no longer than its slowest pool needs.
+#[test]
+fn next_fills_budgets() {
+    let mut world = started();
+    world.run(2);
+    assert_eq!(in_phase(&world, Phase::Cordoned), 6);
+}
+
+/// With a reserve that the loss of a rack needs in full, a VM of the spare pool is only taken when
+/// the other pools can do without that reserve.
+#[test]
+fn next_keeps_rack_reserve() {
+    let mut world = with_spare_promise(4);
+    for _ in 0..1000 {
+        world.tick();
+        let (headroom, _) = Headroom::new(&world.ledger);
+        assert!(headroom.holds());
+    }
+    assert!(done(&world));
+    assert_eq!(world.maintained(), 24);
+}
+
+/// Without a reserve for the loss of a rack, the wave pauses with that reason.
+#[test]
+fn next_pauses_without_reserve() {
+    let mut world = with_spare_promise(6);
+    world.until(1000, "pause", |world| {
+        state(world) == Some(WaveState::Paused)
+    });
+    assert!(
+        reason(&world).contains("loss of a rack"),
+        "{}",
+        reason(&world)
+    );
+}
+
+fn with_spare_promise(promised: u32) -> World {
+    let mut world = World::new();
+    let rules = world.fleet.rules.as_mut().expect("rules");
+    rules.pools[2].promised = promised;
+    world.revision += 1;
+    world.run(2);
+    world.start_wave("w1");
+    world
+}
+
+#[test]
+fn next_pauses_without_budget() {
+    let mut world = World::new();
+    let rules = world.fleet.rules.as_mut().expect("rules");
+    rules.pools[0].max_unavailable = 0;
+    world.revision += 1;
+    world.run(2);
+    world.start_wave("w1");
+    world.until(1000, "pause", |world| {
+        state(world) == Some(WaveState::Paused)
+    });
+    assert!(
+        reason(&world).contains("its budget is 0"),
+        "{}",
+        reason(&world)
+    );
+}
+
+/// Three broken VMs in a small fleet pause the wave; replaced VMs return and the wave goes on.
+#[rstest]
+fn next_pauses_when_broken(#[values(false, true)] late: bool) {
+    let mut world = started();
+    for machine in world.machines.values_mut() {
+        machine.late = late;
+        machine.broken = true;
+    }
+    world.until(2000, "pause", |world| {
+        state(world) == Some(WaveState::Paused)
+    });
+    assert!(
+        reason(&world).contains("came back broken"),
+        "{}",
+        reason(&world)
+    );
+    assert!(in_phase(&world, Phase::Quarantined) >= 3);
+    for machine in world.machines.values_mut() {
+        machine.broken = false;
+        machine.report.boot += u64::from(machine.report.boot > 0);
+    }
+    world.ask(Change::Wave(WaveChange::Resume));
+    world.until(2000, "done", done);
+    assert!(world.faults.is_empty(), "{:?}", world.faults);
+}
+
+#[test]
+fn pause_returns_undrained() {
+    let mut world = started();
+    world.run(3);
+    let reason = String::from("test");
+    world.ask(Change::Wave(WaveChange::Pause { reason }));
+    world.run(90);
+    assert_eq!(in_phase(&world, Phase::Active), 24);
+    world.ask(Change::Wave(WaveChange::Resume));
+    world.until(1000, "done", done);
+}
+
+#[test]
+fn abort_ends() {
+    let mut world = started();
+    world.run(10);
+    let reason = String::from("test");
+    world.ask(Change::Wave(WaveChange::Abort { reason }));
+    world.run(90);
+    assert_eq!(in_phase(&world, Phase::Active), 24);
+    assert_eq!(state(&world), Some(WaveState::Aborted));
+}
+
+/// A VM that does not drain is tried after the others and is left out in the end, with a reason.
+#[test]
+fn next_stragglers_last() {
+    let mut world = started();
+    world.machines.get_mut("crews-0").expect("machine").stuck = true;
+    world.until(2000, "done", done);
+    assert_eq!(world.maintained(), 23);
+    assert!(
+        reason(&world).contains("1 not drained in time: crews-0"),
+        "{}",
+        reason(&world)
+    );
+}
+
+/// A rack that is lost in mid-wave blocks the pools whose budget it uses up, and only these.
+#[test]
+fn next_rack_lost() {
+    let mut world = started();
+    world.run(12);
+    let lost = world.set_rack("r2", true);
+    world.run(300);
+    assert!(!done(&world));
+    let progress = Progress::new(&world.ledger, world.ledger.wave().expect("wave"));
+    assert_eq!(progress.down, lost);
+    world.set_rack("r2", false);
+    world.until(1000, "done", done);
+    assert_eq!(world.maintained(), 24);
+    assert!(world.faults.is_empty(), "{:?}", world.faults);
+}
+
+/// The part of a wave in a zone that is cut off waits, and goes on when the zone is back.
+#[test]
+fn next_zone_waits() {
+    let mut world = started();
+    world.run(6);
+    world.cut.insert("b".into());
+    world.run(600);
+    assert!(!done(&world));
+    assert_eq!(in_phase(&world, Phase::Quarantined), 0);
+    world.cut.clear();
+    world.until(1000, "done", done);
+    assert_eq!(world.maintained(), 24);
+    assert!(world.faults.is_empty(), "{:?}", world.faults);
+}
+
+/// Every VM is maintained once in 6 weeks without anyone asking for it.
+#[test]
+fn due_by_default() {
+    let mut world = World::new();
+    assert!(wave::due(&world.ledger, 0, world.now).is_none());
+    world.now += Duration::from_secs(37 * 24 * 3600);
+    world.run(2);
+    assert!(world.ledger.wave_running());
+    world.until(1000, "done", done);
+    assert_eq!(world.maintained(), 24);
+    world.run(50);
+    assert!(done(&world));
+}
