--- a/crates/wigeonhinge/src/controller/advance.rs
+++ b/crates/wigeonhinge/src/controller/advance.rs
@@ -8,6 +8,7 @@
 use crate::controller::Controller;
 use crate::controller::Draft;
 use crate::controller::Facts;
+use crate::controller::Worker;
 use crate::id::VmId;
 use crate::ledger::Change;
 use crate::wave::MAX_SKIPS;
@@ -127,14 +128,15 @@
 
 /// Returns whether a VM has failed or is in a state that nothing is known about.
 ///
-/// An active worker that refuses work counts as failed, whoever cordoned it; it is admitted again
-/// like any VM that returns.
+/// An active worker that refuses work counts as failed, whoever cordoned it, and so does one that
+/// has restarted and forgotten the order that made it active. Both are admitted again like any VM
+/// that returns.
 fn failed(vm: &VmState, facts: &Facts<'_>) -> bool {
     match vm.phase() {
         Phase::Rebooting | Phase::Down | Phase::Quarantined => false,
         Phase::Active => {
-            let cordoned = facts.report(vm).is_some_and(|worker| worker.cordoned);
-            cordoned || !facts.usable(vm)
+            let strange = |worker: &Worker| worker.cordoned || worker.step + 1 < vm.step;
+            !facts.usable(vm) || facts.report(vm).is_some_and(strange)
         }
         _ => !facts.usable(vm),
     }
--- a/crates/wigeonhinge/tests/controller.rs
+++ b/crates/wigeonhinge/tests/controller.rs
@@ -166,6 +166,21 @@
     });
 }
 
+/// A worker that restarts between two polls is noticed, because it has forgotten its last order.
+#[test]
+fn step_restart() {
+    let mut world = World::new();
+    let machine = world.machines.get_mut("crews-1").expect("machine");
+    machine.report.step = 0;
+    machine.report.boot += 1;
+    world.poll();
+    world.decide(0);
+    assert_eq!(world.phase("crews-1"), Some(Phase::Down));
+    world.until(20, "active", |world| {
+        world.phase("crews-1") == Some(Phase::Active)
+    });
+}
+
 /// A list that lags starts no disruption, because VMs that it does not show yet may be gone.
 #[test]
 fn step_stale_list() {
--- a/crates/wigeonhinge/tests/support/world.rs
+++ b/crates/wigeonhinge/tests/support/world.rs
@@ -27,6 +27,8 @@
 use wigeonhinge_schema::ledger::Phase;
 
 const BOOT: Duration = Duration::from_secs(60);
+/// Delay of the copy that the network delivers of every order.
+const LATE: Duration = Duration::from_secs(90);
 const TICK: Duration = Duration::from_secs(2);
 
 /// A worker and what is wrong with it.
@@ -50,6 +52,8 @@
     pub(crate) paused: bool,
     pub(crate) view: Option<(u64, Ledger)>,
     pub(crate) held: Output,
+    /// Write that a slow store has yet to carry out, and the tick on which it does.
+    pub(crate) pending: Option<(Time, u64, Ledger)>,
 }
 
 #[derive(Clone, Debug)]
@@ -62,6 +66,9 @@
     pub(crate) store_up: bool,
     pub(crate) lose_answer: bool,
     pub(crate) refuse_orders: bool,
+    pub(crate) slow: bool,
+    /// Copies of orders that reach their worker late.
+    pub(crate) late: Vec<(Time, Order)>,
     pub(crate) cut: BTreeSet<String>,
     pub(crate) list_lags: bool,
     pub(crate) list: VmList,
@@ -154,6 +161,8 @@
             store_up: true,
             lose_answer: false,
             refuse_orders: false,
+            slow: false,
+            late: Vec::new(),
             cut: BTreeSet::new(),
             list_lags: false,
             list: VmList::default(),
@@ -197,6 +206,7 @@
         for machine in self.machines.values_mut() {
             machine.tick(self.now);
         }
+        self.deliver_late();
         self.poll();
         for index in 0..self.seats.len() {
             self.decide(index);
@@ -209,6 +219,9 @@
         if self.seats[index].paused {
             return;
         }
+        if !self.settle(index) {
+            return;
+        }
         if self.store_up {
             self.seats[index].view = Some((self.version, self.ledger.clone()));
         }
@@ -218,15 +231,34 @@
             self.refused.extend(refused.map(ToString::to_string));
         }
         self.deliver(output.orders);
-        if let Some(write) = output.write {
-            let audit = write.records.into_iter().map(|record| record.id);
-            if self.write(write.expect, write.ledger) {
-                self.audit.extend(audit);
-                self.requests.clear();
-            }
+        let Some(write) = output.write else {
+            return;
+        };
+        if self.slow {
+            let at = self.now + 4 * TICK;
+            self.seats[index].pending = Some((at, write.expect, write.ledger));
+            return;
+        }
+        let audit = write.records.into_iter().map(|record| record.id);
+        if self.write(write.expect, write.ledger) {
+            self.audit.extend(audit);
+            self.requests.clear();
         }
     }
 
+    /// Carries out a write that a slow store holds; returns whether none is outstanding.
+    fn settle(&mut self, index: usize) -> bool {
+        let Some((at, expect, ledger)) = self.seats[index].pending.take() else {
+            return true;
+        };
+        if at > self.now {
+            self.seats[index].pending = Some((at, expect, ledger));
+            return false;
+        }
+        self.write(expect, ledger);
+        true
+    }
+
     pub(crate) fn output(&mut self, index: usize) -> Output {
         let store_up = self.store_up;
         let seat = &mut self.seats[index];
@@ -306,6 +338,7 @@
             return;
         }
         for order in orders {
+            self.late.push((self.now + LATE, order.clone()));
             let zone = self.zone(&order.vm);
             if self.cut.contains(&zone) {
                 continue;
@@ -316,6 +349,18 @@
         }
     }
 
+    fn deliver_late(&mut self) {
+        let now = self.now;
+        let late = std::mem::take(&mut self.late);
+        let (due, rest): (Vec<_>, Vec<_>) = late.into_iter().partition(|(at, _)| *at <= now);
+        self.late = rest;
+        for (_, order) in due {
+            if let Some(machine) = self.machines.get_mut(&order.vm) {
+                machine.obey(&order, now);
+            }
+        }
+    }
+
     /// Asks for a wave.
     pub(crate) fn start_wave(&mut self, id: &str) {
         let before = self.now;
@@ -472,5 +517,6 @@
         paused: false,
         view: None,
         held: Output::default(),
+        pending: None,
     }
 }
