--- a/crates/wigeonhinge/src/controller/advance.rs
+++ b/crates/wigeonhinge/src/controller/advance.rs
@@ -8,6 +8,7 @@
 use crate::controller::Controller;
 use crate::controller::Draft;
 use crate::controller::Facts;
+use crate::controller::Worker;
 use crate::id::VmId;
 use crate::ledger::Change;
 use crate::wave::MAX_SKIPS;
@@ -23,7 +24,8 @@
     pub(super) fn advance(&self, draft: &mut Draft<'_>, facts: &Facts<'_>) {
         let vms = draft.ledger().vms().to_vec();
         for vm in vms.iter().filter(|vm| failed(vm, facts)) {
-            draft.apply(Change::MarkDown { vm: name(vm) }, "not usable");
+            let (change, reason) = failure(vm, facts);
+            draft.apply(change, reason);
         }
         let running = draft.ledger().wave_running();
         for vm in vms.iter().filter(|vm| !failed(vm, facts)) {
@@ -126,19 +128,34 @@
 
 /// Returns whether a VM has failed or is in a state that nothing is known about.
 ///
-/// An active worker that refuses work counts as failed, whoever cordoned it; it is admitted again
-/// like any VM that returns.
+/// An active worker that refuses work counts as failed, whoever cordoned it, and so does one that
+/// has restarted and forgotten the order that made it active. Both are admitted again like any VM
+/// that returns.
 fn failed(vm: &VmState, facts: &Facts<'_>) -> bool {
     match vm.phase() {
         Phase::Rebooting | Phase::Down | Phase::Quarantined => false,
         Phase::Active => {
-            let cordoned = facts.report(vm).is_some_and(|worker| worker.cordoned);
-            cordoned || !facts.usable(vm)
+            let strange = |worker: &Worker| worker.cordoned || worker.step + 1 < vm.step;
+            !facts.usable(vm) || facts.report(vm).is_some_and(strange)
         }
         _ => !facts.usable(vm),
     }
 }
 
+/// Returns how a failure is recorded: a worker that fails between its reboot and its return came
+/// back broken.
+fn failure(vm: &VmState, facts: &Facts<'_>) -> (Change, &'static str) {
+    let rebooted = vm.phase() == Phase::Returning && vm.maintained_ms == vm.since_ms;
+    match facts.report(vm) {
+        Some(worker) if rebooted && !worker.healthy => {
+            let boot = worker.boot;
+            let vm = name(vm);
+            (Change::Quarantine { vm, boot }, "broken after its reboot")
+        }
+        _ => (Change::MarkDown { vm: name(vm) }, "not usable"),
+    }
+}
+
 /// Decides on a rebooting VM whose worker is silent.
 fn silent(vm: &VmState, facts: &Facts<'_>) -> Vec<(Change, &'static str)> {
     if !passed(vm, facts) {
--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod membership;
+pub mod moves;
 pub mod outcome;
 pub mod retry;
 pub mod role;
