Add the job scheduler with placement, quotas and learned sizes

The scheduler composes the log of batches, the job states, placement with preemption, quotas with lending and learned sizes. Each worker answer now carries the incarnation of the worker, because a restarted worker has forgotten what it ran and cannot confirm that a task never started.

--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -26,7 +26,10 @@
 pub mod gateway;
 pub mod id;
 pub mod ledger;
+pub mod job;
 pub mod outcome;
+pub mod place;
+pub mod quota;
 pub mod scheduler;
 pub mod retry;
 pub mod route;
@@ -36,6 +39,7 @@
 pub mod outcome;
 pub mod role;
 pub mod wave;
+pub mod usage;
 
 pub use crate::error::Category;
 pub use crate::error::Error;
--- /dev/null
+++ b/crates/wigeonhinge/src/place/health.rs
@@ -0,0 +1,113 @@
+//! Workers that fail everything they start, told apart from jobs that fail
+//! everywhere.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::id::JobId;
+use crate::id::VmId;
+
+/// Failed starts of different jobs after which a worker is quarantined, and
+/// workers that a job failed on after which it is marked failed.
+pub const STRIKES: usize = 3;
+
+/// Failures of workers and jobs.
+///
+/// ```
+/// use wigeonhinge::place::Health;
+/// use wigeonhinge::place::Verdict;
+///
+/// let mut health = Health::default();
+/// for job in ["a", "b"] {
+///     assert_eq!(health.failed(&"w1".into(), &job.into()), Verdict::Again);
+/// }
+/// assert_eq!(health.failed(&"w1".into(), &"c".into()), Verdict::BadWorker);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    workers: BTreeMap<VmId, BTreeSet<JobId>>,
+    jobs: BTreeMap<JobId, BTreeSet<VmId>>,
+    proven: BTreeSet<VmId>,
+}
+
+/// What a failure means.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The job may be tried on another worker.
+    Again,
+    /// The job failed on several workers; it is at fault.
+    BadJob,
+    /// Several different jobs in a row failed on the worker; it is at fault.
+    BadWorker,
+}
+
+impl Health {
+    /// Takes a failure. A job that is found at fault has its strikes against
+    /// workers withdrawn, so that bad jobs quarantine no worker for long.
+    pub fn failed(&mut self, worker: &VmId, job: &JobId) -> Verdict {
+        self.jobs
+            .entry(job.clone())
+            .or_default()
+            .insert(worker.clone());
+        let strikes = self.workers.entry(worker.clone()).or_default();
+        strikes.insert(job.clone());
+        if strikes.len() >= STRIKES {
+            self.proven.remove(worker);
+        }
+        if self.at_fault(job) {
+            self.withdraw(job);
+            return Verdict::BadJob;
+        }
+        if self.bad(worker) {
+            return Verdict::BadWorker;
+        }
+        Verdict::Again
+    }
+
+    /// Takes a success, which clears the worker and the job.
+    pub fn succeeded(&mut self, worker: &str, job: &str) {
+        self.workers.remove(worker);
+        self.jobs.remove(job);
+        self.proven.insert(worker.into());
+    }
+
+    /// Forgets a job that ended, but not its strikes against workers.
+    pub fn ended(&mut self, job: &str) {
+        self.jobs.remove(job);
+    }
+
+    /// Forgets the strikes against a worker that was replaced.
+    pub fn replaced(&mut self, worker: &str) {
+        self.workers.remove(worker);
+        self.proven.remove(worker);
+    }
+
+    /// Returns the workers that a job failed on.
+    pub fn avoid(&self, job: &str) -> BTreeSet<VmId> {
+        self.jobs.get(job).cloned().unwrap_or_default()
+    }
+
+    /// Whether a worker has too many strikes.
+    pub fn bad(&self, worker: &str) -> bool {
+        let strikes = self.workers.get(worker);
+        strikes.is_some_and(|strikes| strikes.len() >= STRIKES)
+    }
+
+    /// Whether a job failed on several workers that are not at fault themselves:
+    /// one of them has run other work, or they are too many to be all at fault.
+    fn at_fault(&self, job: &str) -> bool {
+        let Some(on) = self.jobs.get(job) else {
+            return false;
+        };
+        let sound = on.iter().filter(|worker| !self.bad(worker)).count();
+        let proven = on.iter().any(|worker| self.proven.contains(worker));
+        on.len() >= 2 * STRIKES || (sound >= STRIKES && proven)
+    }
+
+    fn withdraw(&mut self, job: &str) {
+        for strikes in self.workers.values_mut() {
+            strikes.remove(job);
+        }
+        self.workers.retain(|_, strikes| !strikes.is_empty());
+    }
+}
--- a/crates/wigeonhinge/src/scheduler.rs
+++ b/crates/wigeonhinge/src/scheduler.rs
@@ -8,6 +8,17 @@
 //! worker outside the lease that [`Event::Lease`] announced.
 
 mod api;
+mod pass;
+mod store;
+mod submit;
+mod tasks;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use wigeonhinge_schema::fleet::Fleet;
+use wigeonhinge_schema::ledger::Phase;
 
 pub use crate::scheduler::api::Action;
 pub use crate::scheduler::api::Answer;
@@ -20,11 +31,22 @@
 pub use crate::scheduler::api::TaskReport;
 pub use crate::scheduler::api::TaskState;
 
-use std::time::Duration;
-
 use crate::id::EntryId;
+use crate::id::Fence;
+use crate::id::JobId;
 use crate::id::PoolId;
 use crate::id::Time;
+use crate::id::VmId;
+use crate::job::Jobs;
+use crate::job::log::Log;
+use crate::place::Cap;
+use crate::place::Health;
+use crate::place::Placer;
+use crate::quota::Quotas;
+use crate::scheduler::pass::Waiter;
+use crate::scheduler::submit::Waiting;
+use crate::scheduler::tasks::Live;
+use crate::usage::Usage;
 
 /// Interval of [`Event::Tick`]; it adds to the start latency of urgent work.
 pub const TICK: Time = Duration::from_millis(50);
@@ -33,23 +55,233 @@
 pub const TASK_TTL: Time = Duration::from_secs(3_600);
 
 /// Decisions on the jobs of one pool.
-#[derive(Debug)]
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use wigeonhinge::scheduler::Action;
+/// use wigeonhinge::scheduler::Event;
+/// use wigeonhinge::scheduler::Scheduler;
+///
+/// let mut scheduler = Scheduler::new("crews".into(), "entry-1".into(), 0);
+/// let lease = Event::Lease { fence: 1, until: Duration::from_secs(6) };
+/// let actions = scheduler.handle(lease, Duration::ZERO);
+/// assert_eq!(actions, [Action::Recover]);
+/// ```
+#[derive(Clone, Debug)]
 pub struct Scheduler {
     pool: PoolId,
     entry: EntryId,
     epoch: u64,
+    role: Option<Role>,
+    jobs: Jobs,
+    /// Jobs that the store does not have yet.
+    fresh: BTreeSet<JobId>,
+    /// Jobs whose latest change is in no batch yet.
+    dirty: BTreeSet<JobId>,
+    /// When the next batch has to be written.
+    due: Option<Time>,
+    tickets: BTreeMap<JobId, Vec<Waiting>>,
+    flying: BTreeMap<JobId, Vec<Waiting>>,
+    live: BTreeMap<JobId, Live>,
+    timers: BTreeSet<(Time, JobId)>,
+    waiters: BTreeMap<pass::Key, Waiter>,
+    /// Failed attempts of open jobs.
+    failures: BTreeMap<JobId, u32>,
+    placer: Placer,
+    quotas: Quotas,
+    usage: Usage,
+    health: Health,
+    phases: BTreeMap<VmId, Phase>,
+    incarnations: BTreeMap<VmId, u64>,
+    suspects: BTreeMap<VmId, tasks::Suspect>,
+    budget: usize,
+    freed: bool,
+    passed: Time,
+    out: Vec<Action>,
+}
+
+/// A held role.
+#[derive(Clone, Debug)]
+struct Role {
+    fence: Fence,
+    until: Time,
+    /// Log; absent until it was read.
+    log: Option<Log>,
+    /// Whether the first batch of this role is durable.
+    open: bool,
+    /// When reading the log is tried again.
+    retry: Time,
 }
 
 impl Scheduler {
     /// Creates the scheduler of a pool, without a role. `epoch` is the origin
     /// of [`Time`] in milliseconds since the Unix epoch.
     pub fn new(pool: PoolId, entry: EntryId, epoch: u64) -> Self {
-        Self { pool, entry, epoch }
+        Self {
+            pool,
+            entry,
+            epoch,
+            role: None,
+            jobs: Jobs::default(),
+            fresh: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            due: None,
+            tickets: BTreeMap::new(),
+            flying: BTreeMap::new(),
+            live: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            waiters: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            placer: Placer::new([]),
+            quotas: Quotas::default(),
+            usage: Usage::default(),
+            health: Health::default(),
+            phases: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            budget: 0,
+            freed: false,
+            passed: Time::ZERO,
+            out: Vec::new(),
+        }
     }
 
     /// Takes an event and returns what has to be done, in order.
     pub fn handle(&mut self, event: Event, now: Time) -> Vec<Action> {
-        let _ = (event, now, &self.pool, &self.entry, self.epoch);
-        Vec::new()
+        match event {
+            Event::Submit { ticket, job } => self.submit(ticket, *job, now),
+            Event::Cancel { ticket, job } => self.cancel(ticket, &job, now),
+            Event::Ask { ticket, job } => self.ask(ticket, &job, now),
+            Event::Lease { fence, until } => self.lease(fence, until, now),
+            Event::Lost => self.lose(),
+            Event::Recovered { snapshot, batches } => {
+                self.recovered(snapshot.map(|snapshot| *snapshot), batches, now);
+            }
+            Event::Stored { seq, version } => self.stored(seq, version, now),
+            Event::Conflict { seq } => self.conflict(seq, now),
+            Event::Read { seq, entry } => self.read(seq, entry, now),
+            Event::Unavailable => self.unavailable(now),
+            Event::Adopt(fleet) => self.adopt(&fleet, now),
+            Event::Phases(phases) => self.phases(phases, now),
+            Event::Reports(reports) => self.reports(reports, now),
+            Event::Reply {
+                worker,
+                task,
+                command,
+                incarnation,
+                reply,
+            } => self.reply(&worker, &task, command, (incarnation, reply), now),
+            Event::Tick => self.tick(now),
+        }
+        self.flush(now);
+        std::mem::take(&mut self.out)
+    }
+
+    /// Whether the role is held and its lease is valid.
+    pub fn valid(&self, now: Time) -> bool {
+        self.role.as_ref().is_some_and(|role| now < role.until)
+    }
+
+    /// Whether jobs are accepted and started: the role is held and the log was
+    /// read.
+    pub fn ready(&self, now: Time) -> bool {
+        self.valid(now) && self.role.as_ref().is_some_and(|role| role.open)
+    }
+
+    /// Returns the jobs of the pool as this scheduler knows them.
+    pub fn jobs(&self) -> &Jobs {
+        &self.jobs
+    }
+
+    /// Returns the capacity of the pool and what its jobs hold.
+    pub fn load(&self) -> (Cap, Cap) {
+        (self.placer.total(), self.placer.used())
     }
+
+    /// Bytes of state, without allocator overhead.
+    pub fn bytes(&self) -> usize {
+        let jobs: usize = self.jobs.iter().map(|(_, job)| job_bytes(job)).sum();
+        let live = self.live.len() * (2 * size_of::<(JobId, Live)>() + 64);
+        let waiters = self.waiters.len() * 2 * size_of::<(pass::Key, Waiter)>();
+        jobs + live + waiters + self.placer.bytes()
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.store_tick(now);
+        self.expire(now);
+        if !self.ready(now) {
+            return;
+        }
+        self.run_timers(now);
+        self.confirm_suspects(now);
+        self.pass(now);
+    }
+
+    fn adopt(&mut self, fleet: &Fleet, now: Time) {
+        let vms = fleet.inventory.iter().filter(|vm| vm.pool == self.pool);
+        self.placer = Placer::new(vms);
+        let all = Placer::new(&fleet.inventory).total();
+        let part = self.placer.total();
+        let rules = fleet.rules.iter();
+        let teams = rules.clone().flat_map(|rules| &rules.teams);
+        let limits = teams.map(|team| {
+            let quota = Cap {
+                cpu: i32::try_from(team.cores.saturating_mul(1_000)).unwrap_or(i32::MAX),
+                mem: i32::try_from(team.memory_mb).unwrap_or(i32::MAX),
+                acc: i32::try_from(team.accelerators).unwrap_or(i32::MAX),
+            };
+            (team.name.as_str().into(), quota.share(part, all))
+        });
+        self.quotas.set(limits.collect());
+        let mut pools = rules.flat_map(|rules| &rules.pools);
+        let pool = pools.find(|pool| pool.name == self.pool);
+        self.budget = pool.map_or(0, |pool| pool.max_unavailable as usize);
+        self.hold_all(now);
+        self.update_usable();
+        self.drop_impossible(now);
+        self.freed = true;
+    }
+
+    fn phases(&mut self, phases: BTreeMap<VmId, Phase>, now: Time) {
+        self.phases = phases;
+        self.update_usable();
+        self.leave_workers(now);
+        self.freed = true;
+    }
+
+    /// Sets which workers take new work from their phases and their health.
+    fn update_usable(&mut self) {
+        let names: Vec<VmId> = self.placer.names().cloned().collect();
+        for name in names {
+            let phase = self.phases.get(&name);
+            let usable = phase.is_some_and(|phase| crate::place::takes(*phase))
+                && self.incarnations.contains_key(&name)
+                && !self.suspects.contains_key(&name);
+            self.placer.usable(&name, usable);
+        }
+    }
+
+    /// Milliseconds since the Unix epoch.
+    fn unix(&self, now: Time) -> u64 {
+        self.epoch + u64::try_from(now.as_millis()).unwrap_or(u64::MAX / 2)
+    }
+
+    fn fence(&self) -> Fence {
+        self.role.as_ref().map_or(0, |role| role.fence)
+    }
+}
+
+fn job_bytes(job: &wigeonhinge_schema::jobs::Job) -> usize {
+    let text = [
+        &job.id,
+        &job.team,
+        &job.class,
+        &job.worker,
+        &job.reason,
+        &job.zone,
+        &job.group,
+    ];
+    let text: usize = text.iter().map(|text| text.capacity()).sum();
+    2 * size_of_val(job) + text
 }
--- a/crates/wigeonhinge/src/scheduler/api.rs
+++ b/crates/wigeonhinge/src/scheduler/api.rs
@@ -130,6 +130,8 @@
         task: Task,
         /// Command that this answers.
         command: Command,
+        /// Incarnation of the worker; 0 when the answer was lost.
+        incarnation: u64,
         /// Answer.
         reply: Reply,
     },
@@ -186,7 +188,8 @@
 /// worker rejects a command whose fence is lower than the highest it has seen.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Command {
-    /// Start the task. A worker starts the same task once at most.
+    /// Start the task. A worker starts the same task once at most, and the
+    /// embedder sends the command once at most.
     Start {
         /// Size to reserve.
         size: Size,
@@ -222,7 +225,8 @@
     Failed(CompactString),
     /// The task is stopped.
     Stopped {
-        /// Whether it ever ran; when not, it never will.
+        /// Whether it ever ran; when not, it never will. A worker that may have
+        /// forgotten the task answers that it ran.
         ran: bool,
     },
     /// The worker knows no such task; it may still receive a delayed start.
--- /dev/null
+++ b/crates/wigeonhinge/src/scheduler/pass.rs
@@ -0,0 +1,296 @@
+//! Placement: which waiting job goes where, and what makes room for it.
+
+use wigeonhinge_schema::jobs::Job;
+use wigeonhinge_schema::jobs::State;
+
+use crate::id::JobId;
+use crate::id::Time;
+use crate::job::JobEvent;
+use crate::job::waits;
+use crate::place;
+use crate::place::Cap;
+use crate::place::Plan;
+use crate::place::Request;
+use crate::quota::Mark;
+use crate::scheduler::Scheduler;
+use crate::scheduler::tasks::Live;
+
+/// Wait after which work within its team's quota preempts less urgent work;
+/// the most urgent work does so at once. Short waits end by themselves more
+/// cheaply.
+const RECLAIM_WAIT: Time = Time::from_secs(5);
+
+/// Wait after which the oldest job of a priority has a worker kept for it.
+const CLAIM_WAIT: Time = Time::from_secs(30);
+
+/// Shortest time between two passes over all waiting jobs.
+const PASS_EVERY: Time = Time::from_millis(200);
+
+/// Age of a waiting job's size estimate at which it is made again.
+const RESIZE_EVERY: Time = Time::from_secs(5);
+
+/// Failed requests that are remembered within a pass.
+const MAX_MISSES: usize = 16;
+
+/// Order of waiting jobs: priority, submission, identifier.
+pub(super) type Key = (u32, u64, JobId);
+
+/// A waiting job.
+#[derive(Clone, Debug)]
+pub(super) struct Waiter {
+    size: Cap,
+    sized: Time,
+}
+
+/// A request that no worker could take in this pass; nothing of its size or
+/// above and of its level or less urgent can be placed either.
+struct Miss {
+    zone: String,
+    size: Cap,
+    level: usize,
+    preempt: bool,
+}
+
+impl Scheduler {
+    /// Puts a job among those that wait.
+    pub(super) fn enqueue(&mut self, id: &JobId, now: Time) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let waiter = Waiter {
+            size: self.sized(job),
+            sized: now,
+        };
+        self.waiters.insert(key(id, job), waiter);
+    }
+
+    pub(super) fn dequeue(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get(id) {
+            self.waiters.remove(&key(id, job));
+        }
+        self.placer.unclaim(id);
+    }
+
+    /// Tries to place one waiting job; returns whether it was placed.
+    pub(super) fn place(&mut self, id: &JobId, now: Time) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let key = key(id, job);
+        let request = self.waiters.get(&key).map(|waiter| waiter.size);
+        let Some(request) = request.map(|size| self.request(id, job, size, now)) else {
+            return false;
+        };
+        let Some(plan) = self.placer.plan(id, &request) else {
+            return false;
+        };
+        self.commit(id, plan, &request, now);
+        true
+    }
+
+    /// Tries to place the waiting jobs, those within their quota first.
+    pub(super) fn pass(&mut self, now: Time) {
+        let due = now >= self.passed + PASS_EVERY;
+        if !due || self.waiters.is_empty() && !self.freed {
+            return;
+        }
+        let timed = now >= self.passed + RECLAIM_WAIT;
+        if !self.freed && !timed {
+            return;
+        }
+        self.freed = false;
+        self.passed = now;
+        for id in self.placer.relieved() {
+            self.throttle(&id, 100);
+        }
+        self.resize(now);
+        let keys: Vec<Key> = self.waiters.keys().cloned().collect();
+        let mut misses: Vec<Miss> = Vec::new();
+        let mut later = Vec::new();
+        for key in keys {
+            match self.waiting_request(&key, now) {
+                Some(request) if request.level >= 4 => later.push((key, request)),
+                Some(request) => self.try_place(&key, &request, &mut misses, now),
+                None => {}
+            }
+        }
+        for (key, request) in later {
+            self.try_place(&key, &request, &mut misses, now);
+        }
+        self.claim(now);
+    }
+
+    /// Ends jobs that no worker could ever run since the fleet changed.
+    pub(super) fn drop_impossible(&mut self, now: Time) {
+        let lacks = self.waiters.keys().filter_map(|(_, _, id)| {
+            let job = self.jobs.get(id)?;
+            let size = self.needed(job, job.size.unwrap_or_default());
+            let lacks = self.placer.lacks(size, &job.zone)?;
+            Some((id.clone(), lacks))
+        });
+        let lacks: Vec<(JobId, String)> = lacks.collect();
+        for (id, lacks) in lacks {
+            self.finish(&id, State::Impossible, &lacks, now);
+        }
+    }
+
+    /// Applies the changes of which tasks borrow.
+    pub(super) fn apply_marks(&mut self, marks: Vec<Mark>) {
+        for mark in marks {
+            let priority = self.jobs.get(&mark.job).map_or(0, |job| job.priority);
+            let level = place::level(priority, mark.borrowed);
+            self.placer.relevel(&mark.job, level);
+        }
+    }
+
+    /// Returns what a job that waits or runs asks of its worker.
+    pub(super) fn request(&self, id: &JobId, job: &Job, size: Cap, now: Time) -> Request {
+        let age = (job.priority, job.submitted_ms);
+        let owned = self.quotas.admit(&job.team, age, size);
+        let waited = self.unix(now).saturating_sub(job.submitted_ms);
+        let long = u128::from(waited) >= RECLAIM_WAIT.as_millis();
+        let avoid = self.health.avoid(id);
+        let all = avoid.len() >= self.placer.names().len();
+        Request {
+            size,
+            level: place::level(job.priority, !owned),
+            zone: job.zone.clone(),
+            group: job.group.clone(),
+            movable: job.idempotent,
+            preempt: owned && (job.priority == 0 || long),
+            avoid: if all { Default::default() } else { avoid },
+            seed: seed(id),
+        }
+    }
+
+    fn try_place(&mut self, key: &Key, request: &Request, misses: &mut Vec<Miss>, now: Time) {
+        let claims = self.placer.claims(&key.2);
+        if !claims && misses.iter().any(|miss| miss.covers(request)) {
+            return;
+        }
+        if let Some(plan) = self.placer.plan(&key.2, request) {
+            return self.commit(&key.2, plan, request, now);
+        }
+        let plain = request.group.is_empty() && request.avoid.is_empty();
+        if plain && misses.len() < MAX_MISSES {
+            misses.push(Miss {
+                zone: request.zone.clone(),
+                size: request.size,
+                level: request.level,
+                preempt: request.preempt,
+            });
+        }
+    }
+
+    fn commit(&mut self, id: &JobId, plan: Plan, request: &Request, now: Time) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let resume = job.state() == State::Checkpointed;
+        let urgent = job.priority == 0;
+        let (team, age) = (job.team.clone(), (job.priority, job.submitted_ms));
+        self.dequeue(id);
+        let start = JobEvent::Start {
+            job: id.clone(),
+            worker: plan.worker.clone(),
+            incarnation: self.incarnations.get(&plan.worker).copied().unwrap_or(0),
+            fence: self.fence(),
+        };
+        if self.jobs.apply(start).is_err() {
+            return;
+        }
+        let attempt = self.jobs.get(id).map_or(0, |job| job.attempts);
+        let blockers = plan.victims.iter().filter(|victim| victim.stop);
+        let blockers = blockers.map(|victim| victim.job.clone()).collect();
+        let live = Live::planned(plan.worker.clone(), attempt, request.size, resume, blockers);
+        self.live.insert(id.clone(), live);
+        for victim in &plan.victims {
+            if victim.stop {
+                self.preempt(&victim.job, id, now);
+            } else {
+                self.throttle(&victim.job, place::THROTTLED);
+            }
+        }
+        self.placer.hold(id, &plan.worker, request, now);
+        let marks = self.quotas.add(&team, age, id, request.size);
+        self.apply_marks(marks);
+        self.mark(id, urgent, now);
+    }
+
+    fn resize(&mut self, now: Time) {
+        let old = self.waiters.iter().filter(|(_, waiter)| {
+            let again = waiter.sized + RESIZE_EVERY;
+            again <= now
+        });
+        let sizes = old.filter_map(|(key, _)| {
+            let job = self.jobs.get(&key.2)?;
+            Some((key.clone(), self.sized(job)))
+        });
+        let sizes: Vec<(Key, Cap)> = sizes.collect();
+        for (key, size) in sizes {
+            self.waiters.insert(key, Waiter { size, sized: now });
+        }
+    }
+
+    fn waiting_request(&self, key: &Key, now: Time) -> Option<Request> {
+        let job = self.jobs.get(&key.2)?;
+        let waiter = self.waiters.get(key)?;
+        waits(job.state()).then(|| self.request(&key.2, job, waiter.size, now))
+    }
+
+    /// Keeps a worker for the oldest job within its quota of each priority that
+    /// has waited too long, so that smaller jobs do not pass it forever.
+    fn claim(&mut self, now: Time) {
+        let now_ms = self.unix(now);
+        let limit = u64::try_from(CLAIM_WAIT.as_millis()).unwrap_or(u64::MAX);
+        let mut last = None;
+        let mut oldest = Vec::new();
+        for key in self.waiters.keys() {
+            let late = now_ms.saturating_sub(key.1) >= limit;
+            if late && last != Some(key.0) {
+                last = Some(key.0);
+                oldest.push(key.clone());
+            }
+        }
+        for key in oldest {
+            if self.placer.claims(&key.2) {
+                continue;
+            }
+            if let Some(request) = self.waiting_request(&key, now) {
+                self.placer.claim(&key.2, &request);
+            }
+        }
+    }
+
+    /// Size to reserve for a job: learned where possible, doubled in memory
+    /// with each failed attempt, and no more than a worker has.
+    fn sized(&self, job: &Job) -> Cap {
+        let declared = job.size.unwrap_or_default();
+        let mut size = Cap::from(self.usage.estimate(&job.class, declared));
+        let failures = self.failures.get(job.id.as_str()).copied().unwrap_or(0);
+        size.mem = size.mem.saturating_mul(1 << failures.min(3));
+        if self.placer.lacks(size, &job.zone).is_none() {
+            return size;
+        }
+        self.placer.largest(size, &job.zone)
+    }
+}
+
+impl Miss {
+    fn covers(&self, request: &Request) -> bool {
+        let zone = self.zone.is_empty() || self.zone == request.zone;
+        let level = self.level <= request.level && (self.preempt || !request.preempt);
+        zone && level && self.size.fits(request.size)
+    }
+}
+
+fn key(id: &JobId, job: &Job) -> Key {
+    (job.priority, job.submitted_ms, id.clone())
+}
+
+/// FNV-1a hash of an identifier.
+fn seed(id: &str) -> u64 {
+    id.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
--- /dev/null
+++ b/crates/wigeonhinge/src/scheduler/tasks.rs
@@ -0,0 +1,524 @@
+//! Tasks on workers: commands, replies, reports and timers.
+
+mod health;
+mod report;
+
+use std::collections::BTreeSet;
+
+use wigeonhinge_schema::jobs::Size;
+use wigeonhinge_schema::jobs::State;
+
+use crate::id::JobId;
+use crate::id::Time;
+use crate::id::VmId;
+use crate::job::JobEvent;
+use crate::place::Cap;
+use crate::scheduler::Action;
+use crate::scheduler::Command;
+use crate::scheduler::Reply;
+use crate::scheduler::Scheduler;
+use crate::scheduler::TASK_TTL;
+use crate::scheduler::Task;
+
+pub(super) use crate::scheduler::tasks::health::Suspect;
+
+/// Time that a checkpoint of preempted work may take.
+const CHECKPOINT_WAIT: Time = Time::from_millis(500);
+
+/// Wait for the answer to a start before the worker is asked what became of it.
+const REPLY_WAIT: Time = Time::from_secs(2);
+
+/// First wait before a command is repeated; doubles each time.
+const AGAIN: Time = Time::from_millis(200);
+
+/// Longest wait before a command is repeated.
+const MAX_AGAIN: Time = Time::from_secs(30);
+
+/// Attempts that may fail before the job is marked failed on a small pool.
+const MAX_FAILURES: u32 = 6;
+
+/// A job that has a worker.
+#[derive(Clone, Debug)]
+pub(super) struct Live {
+    pub(super) worker: VmId,
+    pub(super) attempt: u32,
+    pub(super) step: Step,
+    /// Jobs that have to be stopped before this one starts.
+    blockers: BTreeSet<JobId>,
+    /// Job that this one makes room for.
+    helps: Option<JobId>,
+    size: Cap,
+    peak: Size,
+    resume: bool,
+    /// Whether the worker is known to have run it.
+    ran: bool,
+    throttled: bool,
+    at: Time,
+    wait: Time,
+}
+
+/// Progress of a job that has a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Step {
+    /// The start is not durable yet.
+    Writing,
+    /// The start is durable; the worker was not asked.
+    Ready,
+    /// The worker was asked.
+    Asked,
+    /// Whether the worker runs the task is not known.
+    Doubtful,
+    /// The worker runs the task.
+    Running,
+    /// The task saves its progress before it is stopped.
+    Saving(Why),
+    /// The worker was asked to stop the task.
+    Stopping(Why),
+}
+
+/// Why a task is stopped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Why {
+    Cancel,
+    Doubt,
+    Room,
+}
+
+impl Live {
+    pub(super) fn planned(
+        worker: VmId,
+        attempt: u32,
+        size: Cap,
+        resume: bool,
+        blockers: BTreeSet<JobId>,
+    ) -> Self {
+        Self {
+            worker,
+            attempt,
+            step: Step::Writing,
+            blockers,
+            helps: None,
+            size,
+            peak: Size::default(),
+            resume,
+            ran: false,
+            throttled: false,
+            at: Time::ZERO,
+            wait: AGAIN,
+        }
+    }
+
+    fn asked(&self) -> bool {
+        !matches!(self.step, Step::Writing | Step::Ready)
+    }
+}
+
+impl Scheduler {
+    /// Takes the confirmation that the start of an attempt is durable.
+    pub(super) fn start_stored(&mut self, id: &JobId, attempt: u32, now: Time) {
+        let Some(live) = self.live.get_mut(id) else {
+            return;
+        };
+        if live.attempt == attempt && live.step == Step::Writing {
+            live.step = Step::Ready;
+            self.try_start(id, now);
+        }
+    }
+
+    /// Takes up a job whose start another holder recorded.
+    pub(super) fn doubt(&mut self, id: &JobId, now: Time) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let size = job.size.unwrap_or_default().into();
+        let worker = VmId::from(&job.worker);
+        let mut live = Live::planned(worker, job.attempts, size, false, BTreeSet::new());
+        live.step = Step::Doubtful;
+        live.ran = job.state() == State::Running;
+        self.live.insert(id.clone(), live);
+        self.arm(id, now, AGAIN);
+    }
+
+    /// Holds the capacity and the quota of every job that has a worker.
+    pub(super) fn hold_all(&mut self, now: Time) {
+        if self.placer.names().len() == 0 {
+            return;
+        }
+        let ids: Vec<JobId> = self.live.keys().cloned().collect();
+        for id in ids {
+            if !self.placer.knows(&self.live[&id].worker) {
+                self.lose_task(&id, "its worker was removed", now);
+                continue;
+            }
+            self.hold(&id, now);
+        }
+    }
+
+    fn hold(&mut self, id: &JobId, now: Time) {
+        let (Some(job), Some(live)) = (self.jobs.get(id), self.live.get(id)) else {
+            return;
+        };
+        let request = self.request(id, job, live.size, now);
+        let (team, age) = (job.team.clone(), (job.priority, job.submitted_ms));
+        let (worker, step, throttled) = (live.worker.clone(), live.step, live.throttled);
+        self.placer.hold(id, &worker, &request, now);
+        if live_step_runs(step) {
+            self.placer.running(id);
+        }
+        if matches!(step, Step::Saving(_) | Step::Stopping(_)) {
+            self.placer.leaving(id, true);
+        }
+        self.placer.throttle(id, throttled);
+        let marks = self.quotas.add(&team, age, id, request.size);
+        self.apply_marks(marks);
+    }
+
+    /// Runs the commands that are due.
+    pub(super) fn run_timers(&mut self, now: Time) {
+        while let Some((at, id)) = self.timers.first().cloned() {
+            if at > now {
+                break;
+            }
+            self.timers.remove(&(at, id.clone()));
+            self.timer(&id, now);
+        }
+    }
+
+    fn timer(&mut self, id: &JobId, now: Time) {
+        let Some(live) = self.live.get_mut(id) else {
+            return;
+        };
+        let wait = live.wait;
+        live.wait = (wait * 2).min(MAX_AGAIN);
+        match live.step {
+            Step::Writing => {}
+            Step::Ready => self.try_start(id, now),
+            Step::Asked | Step::Doubtful => {
+                live.step = Step::Doubtful;
+                self.send(id, Command::Renew);
+                self.arm(id, now, wait);
+            }
+            Step::Running => {
+                self.send(id, Command::Renew);
+                self.arm(id, now, TASK_TTL / 6);
+            }
+            Step::Saving(why) => self.saved(id, why, now),
+            Step::Stopping(_) => {
+                self.send(id, Command::Stop);
+                self.arm(id, now, wait);
+            }
+        }
+    }
+
+    fn try_start(&mut self, id: &JobId, now: Time) {
+        let valid = self.ready(now);
+        let Some(live) = self.live.get_mut(id) else {
+            return;
+        };
+        if live.step != Step::Ready || !live.blockers.is_empty() {
+            return;
+        }
+        if !valid {
+            return self.arm(id, now, AGAIN);
+        }
+        live.step = Step::Asked;
+        live.wait = AGAIN;
+        let start = Command::Start {
+            size: live.size.into(),
+            resume: live.resume,
+            ttl: TASK_TTL,
+        };
+        self.send(id, start);
+        self.arm(id, now, REPLY_WAIT);
+    }
+
+    /// Makes a running task leave room for another job.
+    pub(super) fn preempt(&mut self, id: &JobId, for_job: &JobId, now: Time) {
+        if let Some(live) = self.live.get_mut(id) {
+            live.helps = Some(for_job.clone());
+        }
+        self.save(id, now);
+    }
+
+    fn save(&mut self, id: &JobId, now: Time) {
+        let Some(live) = self.live.get_mut(id) else {
+            return;
+        };
+        live.step = Step::Saving(Why::Room);
+        self.placer.leaving(id, true);
+        self.send(id, Command::Checkpoint);
+        self.arm(id, now, CHECKPOINT_WAIT);
+    }
+
+    /// Stops a task that saved its progress, once the job that needs the room
+    /// is sure to start.
+    fn saved(&mut self, id: &JobId, why: Why, now: Time) {
+        let helps = self.live.get(id).and_then(|live| live.helps.clone());
+        let writing = helps
+            .and_then(|job| self.live.get(&job))
+            .is_some_and(|live| live.step == Step::Writing);
+        if writing {
+            return self.arm(id, now, Time::ZERO);
+        }
+        self.stop(id, why, now);
+    }
+
+    /// Stops a task, or gives up a start that the worker was not asked for.
+    pub(super) fn stop(&mut self, id: &JobId, why: Why, now: Time) {
+        let Some(live) = self.live.get_mut(id) else {
+            return;
+        };
+        if !live.asked() {
+            return match why {
+                Why::Cancel => self.finish(id, State::Cancelled, "", now),
+                Why::Doubt | Why::Room => self.requeue(id, false, now),
+            };
+        }
+        if live.step == Step::Stopping(Why::Cancel) {
+            return;
+        }
+        live.step = Step::Stopping(why);
+        live.wait = AGAIN;
+        self.send(id, Command::Stop);
+        self.arm(id, now, REPLY_WAIT);
+    }
+
+    pub(super) fn reply(
+        &mut self,
+        worker: &VmId,
+        task: &Task,
+        command: Command,
+        (incarnation, reply): (u64, Reply),
+        now: Time,
+    ) {
+        if reply == Reply::Fenced {
+            return self.lose();
+        }
+        let id = &task.job;
+        let known = self.live.get(id);
+        if !known.is_some_and(|live| live.worker == *worker && live.attempt == task.attempt) {
+            return;
+        }
+        match reply {
+            Reply::Running => self.runs(id, Some(command), now),
+            Reply::StartFailed(reason) if matches!(command, Command::Start { .. }) => {
+                self.failed(id, false, &reason, now);
+            }
+            Reply::StartFailed(_) | Reply::Lost => self.unanswered(id, command, now),
+            Reply::Done => self.done(id, now),
+            Reply::Failed(reason) => self.failed(id, true, &reason, now),
+            Reply::Stopped { ran } => self.stopped(id, ran, incarnation, now),
+            Reply::Absent => self.absent(id, now),
+            Reply::Fenced => {}
+        }
+    }
+
+    fn runs(&mut self, id: &JobId, command: Option<Command>, now: Time) {
+        let Some(live) = self.live.get_mut(id) else {
+            return;
+        };
+        match live.step {
+            Step::Asked | Step::Doubtful => {
+                // The holder that recorded the start may have throttled it.
+                let unlimited = matches!(command, Some(Command::Start { .. }));
+                live.step = Step::Running;
+                live.ran = true;
+                live.wait = AGAIN;
+                let _ = self.jobs.apply(JobEvent::Run(id.clone()));
+                self.placer.running(id);
+                if !unlimited {
+                    self.throttle(id, 100);
+                }
+                self.arm(id, now, TASK_TTL / 6);
+            }
+            Step::Running => self.arm(id, now, TASK_TTL / 6),
+            Step::Saving(why) if command == Some(Command::Checkpoint) => self.saved(id, why, now),
+            _ => {}
+        }
+    }
+
+    fn unanswered(&mut self, id: &JobId, command: Command, now: Time) {
+        let Some(live) = self.live.get_mut(id) else {
+            return;
+        };
+        match (live.step, command) {
+            (Step::Asked, Command::Start { .. }) => {
+                live.step = Step::Doubtful;
+                self.arm(id, now, AGAIN);
+            }
+            (Step::Running, Command::Renew) => {
+                let wait = live.wait;
+                live.wait = (wait * 2).min(MAX_AGAIN);
+                self.arm(id, now, wait);
+            }
+            _ => {}
+        }
+    }
+
+    fn absent(&mut self, id: &JobId, now: Time) {
+        let step = self.live.get(id).map(|live| live.step);
+        match step {
+            Some(Step::Doubtful | Step::Running) => self.stop(id, Why::Doubt, now),
+            Some(Step::Saving(why)) => self.stop(id, why, now),
+            _ => {}
+        }
+    }
+
+    /// Takes the end of a task by a stop. "Never ran" counts only from the
+    /// incarnation that the start was recorded for: a restarted worker has
+    /// forgotten what it ran.
+    fn stopped(&mut self, id: &JobId, ran: bool, incarnation: u64, now: Time) {
+        let (Some(job), Some(live)) = (self.jobs.get(id), self.live.get(id)) else {
+            return;
+        };
+        let ran = ran || live.ran || incarnation == 0 || incarnation != job.incarnation;
+        let retry = job.idempotent || !ran;
+        match live.step {
+            Step::Stopping(Why::Cancel) => self.finish(id, State::Cancelled, "", now),
+            _ if retry => self.requeue(id, ran, now),
+            _ => {
+                let reason = "its worker stopped it after its start was in doubt";
+                self.finish(id, State::Unknown, reason, now);
+            }
+        }
+    }
+
+    fn done(&mut self, id: &JobId, now: Time) {
+        let (Some(job), Some(live)) = (self.jobs.get(id), self.live.get(id)) else {
+            return;
+        };
+        if live.peak != Size::default() {
+            self.usage.observe(&job.class, live.peak);
+        }
+        self.health.succeeded(&live.worker, id);
+        self.finish(id, State::Done, "", now);
+    }
+
+    /// Takes the loss of the worker of a task.
+    pub(super) fn lose_task(&mut self, id: &JobId, reason: &str, now: Time) {
+        let (Some(job), Some(live)) = (self.jobs.get(id), self.live.get(id)) else {
+            return;
+        };
+        let asked = live.asked();
+        if live.step == Step::Stopping(Why::Cancel) {
+            return self.finish(id, State::Cancelled, reason, now);
+        }
+        if job.idempotent || !asked {
+            return self.requeue(id, asked, now);
+        }
+        self.finish(id, State::Unknown, reason, now);
+    }
+
+    /// Ends a job.
+    pub(super) fn finish(&mut self, id: &JobId, state: State, reason: &str, now: Time) {
+        self.dequeue(id);
+        self.free(id, now);
+        self.failures.remove(id);
+        self.health.ended(id);
+        let end = JobEvent::End {
+            job: id.clone(),
+            state,
+            reason: reason.into(),
+        };
+        if self.jobs.apply(end).is_ok() {
+            self.mark(id, false, now);
+        }
+    }
+
+    /// Removes a job that the store does not have.
+    pub(super) fn withdraw(&mut self, id: &JobId, now: Time) {
+        self.dequeue(id);
+        self.free(id, now);
+        self.fresh.remove(id);
+        self.dirty.remove(id);
+        self.jobs.withdraw(id);
+    }
+
+    fn requeue(&mut self, id: &JobId, ran: bool, now: Time) {
+        self.free(id, now);
+        let requeue = JobEvent::Requeue {
+            job: id.clone(),
+            ran,
+        };
+        if self.jobs.apply(requeue).is_err() {
+            return self.finish(id, State::Unknown, "it may have run", now);
+        }
+        self.enqueue(id, now);
+        self.mark(id, false, now);
+    }
+
+    /// Gives back the worker of a job.
+    fn free(&mut self, id: &JobId, now: Time) {
+        let Some(live) = self.live.remove(id) else {
+            return;
+        };
+        self.timers.remove(&(live.at, id.clone()));
+        self.placer.release(id);
+        if let Some(job) = self.jobs.get(id) {
+            let age = (job.priority, job.submitted_ms);
+            let team = job.team.clone();
+            let marks = self.quotas.remove(&team, age, id);
+            self.apply_marks(marks);
+        }
+        self.freed = true;
+        for victim in &live.blockers {
+            self.spare(victim, now);
+        }
+        if let Some(helped) = &live.helps {
+            if let Some(live) = self.live.get_mut(helped) {
+                live.blockers.remove(id);
+            }
+            self.try_start(helped, now);
+        }
+    }
+
+    /// Lets a task go on that was to make room for a job that is gone.
+    fn spare(&mut self, id: &JobId, now: Time) {
+        let Some(live) = self.live.get_mut(id) else {
+            return;
+        };
+        live.helps = None;
+        if matches!(live.step, Step::Saving(_)) {
+            live.step = Step::Running;
+            self.placer.leaving(id, false);
+            self.arm(id, now, TASK_TTL / 6);
+        }
+    }
+
+    pub(super) fn throttle(&mut self, id: &JobId, percent: u32) {
+        if let Some(live) = self.live.get_mut(id) {
+            live.throttled = percent < 100;
+        }
+        self.placer.throttle(id, percent < 100);
+        self.send(id, Command::Throttle { percent });
+    }
+
+    pub(super) fn send(&mut self, id: &JobId, command: Command) {
+        let Some(live) = self.live.get(id) else {
+            return;
+        };
+        self.out.push(Action::Worker {
+            worker: live.worker.clone(),
+            task: Task {
+                job: id.clone(),
+                attempt: live.attempt,
+            },
+            command,
+            fence: self.fence(),
+        });
+    }
+
+    fn arm(&mut self, id: &JobId, now: Time, wait: Time) {
+        let Some(live) = self.live.get_mut(id) else {
+            return;
+        };
+        self.timers.remove(&(live.at, id.clone()));
+        // A timer that is due at once runs with the next tick, not in this one.
+        live.at = now + wait.max(Time::from_millis(1));
+        self.timers.insert((live.at, id.clone()));
+    }
+}
+
+fn live_step_runs(step: Step) -> bool {
+    matches!(step, Step::Running | Step::Saving(_) | Step::Stopping(_))
+}
--- /dev/null
+++ b/crates/wigeonhinge/src/scheduler/tasks/health.rs
@@ -0,0 +1,139 @@
+//! Failed tasks, and workers that are held back because of them.
+
+use wigeonhinge_schema::audit;
+use wigeonhinge_schema::jobs::State;
+
+use crate::id::JobId;
+use crate::id::Time;
+use crate::id::VmId;
+use crate::place;
+use crate::place::Verdict;
+use crate::scheduler::Action;
+use crate::scheduler::Scheduler;
+use crate::scheduler::tasks::MAX_FAILURES;
+
+/// Time for which a worker stays suspect before its quarantine is asked for, so
+/// that jobs at fault can be told apart by their failures elsewhere.
+const CONFIRM: Time = Time::from_secs(10);
+
+/// Time for which a suspect worker that the budget does not allow to quarantine
+/// gets no work.
+const PROBATION: Time = Time::from_secs(30);
+
+/// A worker that is held back.
+#[derive(Clone, Debug)]
+pub(in crate::scheduler) struct Suspect {
+    since: Time,
+    asked: bool,
+    out: bool,
+}
+
+impl Scheduler {
+    /// Takes a failed attempt. One that never ran may be repeated in any case;
+    /// one that ran only when the job is idempotent.
+    pub(super) fn failed(&mut self, id: &JobId, ran: bool, reason: &str, now: Time) {
+        let (Some(job), Some(live)) = (self.jobs.get(id), self.live.get(id)) else {
+            return;
+        };
+        let (idempotent, worker) = (job.idempotent, live.worker.clone());
+        let verdict = self.health.failed(&worker, id);
+        if verdict == Verdict::BadWorker {
+            self.suspect(&worker, now);
+        }
+        let failures = self.failures.entry(id.clone()).or_default();
+        *failures += 1;
+        let worn = *failures >= MAX_FAILURES;
+        if verdict == Verdict::BadJob || worn || (ran && !idempotent) {
+            return self.finish(id, State::Failed, reason, now);
+        }
+        self.requeue(id, ran, now);
+    }
+
+    fn suspect(&mut self, worker: &VmId, now: Time) {
+        let suspect = Suspect {
+            since: now,
+            asked: false,
+            out: false,
+        };
+        self.suspects.entry(worker.clone()).or_insert(suspect);
+        self.placer.usable(worker, false);
+    }
+
+    /// Asks for the quarantine of suspects that stay suspect, as far as the
+    /// budget of the pool allows; lets the others try again.
+    pub(in crate::scheduler) fn confirm_suspects(&mut self, now: Time) {
+        if self.suspects.is_empty() {
+            return;
+        }
+        let out = self.placer.names().filter(|name| {
+            let phase = self.phases.get(*name);
+            !phase.is_some_and(|phase| place::takes(*phase))
+        });
+        let asked = self.suspects.iter().filter(|(name, suspect)| {
+            let phase = self.phases.get(*name);
+            suspect.asked && phase.is_some_and(|phase| place::takes(*phase))
+        });
+        let mut spare = self.budget.saturating_sub(out.count() + asked.count());
+        let mut cleared = Vec::new();
+        let mut confirmed = Vec::new();
+        for (name, suspect) in &mut self.suspects {
+            if !self.health.bad(name) {
+                cleared.push(name.clone());
+            } else if suspect.asked || now < suspect.since + CONFIRM {
+                continue;
+            } else if spare > 0 {
+                spare -= 1;
+                suspect.asked = true;
+                confirmed.push(name.clone());
+            } else if now >= suspect.since + PROBATION {
+                cleared.push(name.clone());
+            }
+        }
+        for name in confirmed {
+            self.quarantine(name, now);
+        }
+        for name in &cleared {
+            self.suspects.remove(name);
+        }
+        if !cleared.is_empty() {
+            self.update_usable();
+            self.freed = true;
+        }
+    }
+
+    /// Trusts the suspects again that were out of service since.
+    pub(super) fn return_suspects(&mut self) {
+        let mut back = Vec::new();
+        for (name, suspect) in &mut self.suspects {
+            let Some(phase) = self.phases.get(name) else {
+                continue;
+            };
+            suspect.out |= place::lost(*phase);
+            if suspect.out && place::takes(*phase) {
+                back.push(name.clone());
+            }
+        }
+        for name in &back {
+            self.suspects.remove(name);
+            self.health.replaced(name);
+        }
+        if !back.is_empty() {
+            self.update_usable();
+        }
+    }
+
+    fn quarantine(&mut self, worker: VmId, now: Time) {
+        let reason = "the last starts of several different jobs all failed";
+        self.out.push(Action::Audit(audit::Record {
+            at_ms: self.unix(now),
+            kind: audit::Kind::Quarantine.into(),
+            subject: worker.to_string(),
+            reason: reason.into(),
+            ..audit::Record::default()
+        }));
+        self.out.push(Action::Quarantine {
+            worker,
+            reason: reason.into(),
+        });
+    }
+}
