Sort the modules of the library and end a stop that a worker cannot confirm

A worker that answers a stop with "absent" confirms nothing. The stop was repeated without end; now an idempotent job waits again and any other one ends in an unknown outcome.

--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -15,31 +15,30 @@
 //! - [`lease`], [`role`] and [`membership`] divide duties among the live entries.
 //! - [`outcome`] lists the error kinds of requests and their answers.
 
+pub mod admit;
 pub mod audit;
-pub mod config;
 pub mod buffer;
+pub mod config;
 pub mod controller;
-pub mod admit;
 pub mod eject;
 pub mod error;
 pub mod fleet;
 pub mod gateway;
 pub mod id;
-pub mod ledger;
 pub mod job;
+pub mod lease;
+pub mod ledger;
+pub mod membership;
 pub mod outcome;
 pub mod place;
 pub mod quota;
-pub mod scheduler;
 pub mod retry;
+pub mod role;
 pub mod route;
+pub mod scheduler;
 pub mod share;
-pub mod lease;
-pub mod membership;
-pub mod outcome;
-pub mod role;
-pub mod wave;
 pub mod usage;
+pub mod wave;
 
 pub use crate::error::Category;
 pub use crate::error::Error;
--- a/crates/wigeonhinge/src/scheduler/tasks.rs
+++ b/crates/wigeonhinge/src/scheduler/tasks.rs
@@ -308,7 +308,7 @@
             Reply::Done => self.done(id, now),
             Reply::Failed(reason) => self.failed(id, true, &reason, now),
             Reply::Stopped { ran } => self.stopped(id, ran, incarnation, now),
-            Reply::Absent => self.absent(id, now),
+            Reply::Absent => self.absent(id, command, now),
             Reply::Fenced => {}
         }
     }
@@ -355,11 +355,16 @@
         }
     }
 
-    fn absent(&mut self, id: &JobId, now: Time) {
+    /// Takes the answer that the worker does not know the task. After a stop it
+    /// confirms nothing, so only an idempotent job may start again.
+    fn absent(&mut self, id: &JobId, command: Command, now: Time) {
         let step = self.live.get(id).map(|live| live.step);
         match step {
             Some(Step::Doubtful | Step::Running) => self.stop(id, Why::Doubt, now),
             Some(Step::Saving(why)) => self.stop(id, why, now),
+            Some(Step::Stopping(_)) if command == Command::Stop => {
+                self.stopped(id, true, 0, now);
+            }
             _ => {}
         }
     }
