Add the control plane: peers, watch, session, roles and admin port

One thread owns the state of the control plane and takes messages; calls to the platform and deliveries to peers are tasks that report their end. Session and roles, and the timing of the watches, are state machines without I/O. Controllers are driven while their role's lease is valid, checked again before each order is sent.

--- /dev/null
+++ b/crates/daemon/src/plane/calls.rs
@@ -0,0 +1,172 @@
+//! Calls to the platform, each as a task of its own that reports its end.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use wigeonhinge::Time;
+use wigeonhinge::config;
+use wigeonhinge::id::Fence;
+use wigeonhinge::lease;
+use wigeonhinge_schema::fleet::Config;
+
+use crate::control;
+use crate::control::Answer;
+use crate::control::ENTRY;
+use crate::control::Entry;
+use crate::control::Holder;
+use crate::control::Name;
+use crate::control::ROLE;
+use crate::plane::Order;
+use crate::plane::Outcome;
+use crate::plane::duty::Duty;
+use crate::platform::Document;
+use crate::platform::HttpPlatform;
+use crate::platform::LeaseId;
+use crate::platform::Platform;
+use crate::platform::Result;
+use crate::platform::VmList;
+use crate::watch;
+
+/// End of a call.
+#[derive(Debug)]
+pub(crate) enum Ended {
+    /// A call for the configuration.
+    Config(watch::Call, Result<Option<Document<Config>>>),
+    /// A read of the VM list.
+    Vms(Result<VmList>),
+    /// A call of the session or of a role, and when it was sent.
+    Control(control::Call, Time, Answer),
+    /// An order of a role's controller.
+    Order(Name, u64, Outcome),
+}
+
+/// Makes calls and sends their ends.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    pub(crate) platform: HttpPlatform,
+    pub(crate) start: Instant,
+    pub(crate) own: Entry,
+    pub(crate) ended: flume::Sender<Ended>,
+}
+
+impl Caller {
+    pub(crate) fn watch(&self, call: watch::Call) {
+        let caller = self.clone();
+        self.spawn(async move { caller.make_watch(call).await });
+    }
+
+    pub(crate) fn control(&self, call: control::Call) {
+        let caller = self.clone();
+        self.spawn(async move {
+            let sent = caller.start.elapsed();
+            let answer = caller.make_control(&call).await;
+            Ended::Control(call, sent, answer.unwrap_or(Answer::Failed))
+        });
+    }
+
+    pub(crate) fn order(&self, duty: Duty, session: LeaseId) {
+        let caller = self.clone();
+        self.spawn(async move {
+            let outcome = caller.make_order(&duty, session).await;
+            let outcome = outcome.unwrap_or_else(Outcome::Failed);
+            Ended::Order(duty.role, duty.number, outcome)
+        });
+    }
+
+    fn spawn(&self, call: impl Future<Output = Ended> + 'static) {
+        let ended = self.ended.clone();
+        let task = async move {
+            let end = call.await;
+            // The core has stopped if it does not receive this.
+            let _ = ended.send_async(end).await;
+        };
+        compio::runtime::spawn(task).detach();
+    }
+
+    async fn make_watch(&self, call: watch::Call) -> Ended {
+        let (after, wait) = match call {
+            watch::Call::Vms => return Ended::Vms(self.platform.vms().await),
+            watch::Call::Poll(after) => (after, Duration::ZERO),
+            watch::Call::Watch(after) => (after, watch::WAIT),
+        };
+        let answer = self.platform.watch(config::KEY, after, wait).await;
+        Ended::Config(call, answer)
+    }
+
+    async fn make_control(&self, call: &control::Call) -> Result<Answer> {
+        let platform = &self.platform;
+        let name = &self.own.entry;
+        Ok(match call {
+            control::Call::Grant => Answer::Granted(platform.grant(name, lease::TTL).await?),
+            control::Call::Renew(lease) => Answer::Renewed(platform.renew(*lease).await?),
+            control::Call::Register(lease, version) => {
+                let key = format!("{ENTRY}{name}");
+                let swap = platform.put(&key, &self.own, *version, Some(*lease));
+                Answer::Swapped(swap.await?)
+            }
+            control::Call::Roles => Answer::Listed(platform.list(ROLE).await?),
+            control::Call::Entries => Answer::Listed(platform.list(ENTRY).await?),
+            control::Call::Entry(entry) => {
+                let found = platform.get::<Entry>(&format!("{ENTRY}{entry}")).await?;
+                Answer::Entry(found.map(|document| (document.version, document.value)))
+            }
+            control::Call::Take(role, session) => {
+                let holder = Holder {
+                    holder: name.clone(),
+                    session: *session,
+                };
+                let key = format!("{ROLE}{role}");
+                let swap = platform.put(&key, &holder, 0, Some(*session));
+                Answer::Swapped(swap.await?)
+            }
+            control::Call::Check(role) => {
+                let found = platform.get::<Holder>(&format!("{ROLE}{role}")).await?;
+                Answer::Holder(found.map(|document| (document.version, document.value)))
+            }
+            control::Call::Release(role, fence) => {
+                let key = format!("{ROLE}{role}");
+                Answer::Swapped(platform.delete(&key, *fence).await?)
+            }
+        })
+    }
+
+    /// Sends an order unless the lease is over by now.
+    async fn make_order(&self, duty: &Duty, session: LeaseId) -> Result<Outcome> {
+        if !duty.lease.valid(self.start.elapsed()) {
+            return Ok(Outcome::Expired);
+        }
+        let platform = &self.platform;
+        let fence = duty.lease.fence();
+        Ok(match &duty.order {
+            Order::Get(key) => {
+                let found = platform.get::<Value>(key).await?;
+                Outcome::Value(found.map(|document| (document.version, document.value)))
+            }
+            Order::Put(key, value, expect, leased) => {
+                let lease = leased.then_some(session);
+                Outcome::Swapped(platform.put(key, value, *expect, lease).await?)
+            }
+            Order::Delete(key, expect) => Outcome::Swapped(platform.delete(key, *expect).await?),
+            Order::List(prefix) => Outcome::Listed(platform.list(prefix).await?),
+            Order::Workers(pool) => Outcome::Workers(platform.workers(pool).await?),
+            _ => Outcome::Reply(self.make_command(&duty.order, fence).await?),
+        })
+    }
+
+    async fn make_command(&self, order: &Order, fence: Fence) -> Result<crate::platform::Reply> {
+        match order {
+            Order::Worker(vm, command) => self.platform.command(vm, *command, fence).await,
+            Order::Start(vm, start) => {
+                let mut start = start.clone();
+                start.fence = fence;
+                self.platform.start(vm, &start).await
+            }
+            Order::Task(vm, id, command, lease_ms) => {
+                let task = self.platform.task(vm, id, *command, fence, *lease_ms);
+                task.await
+            }
+            _ => Err(crate::platform::Error::none("not a command")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/plane/duty.rs
@@ -0,0 +1,81 @@
+//! The controllers of the roles that this entry holds.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use wigeonhinge::Time;
+use wigeonhinge::lease::Lease;
+use wigeonhinge_schema::fleet::Config;
+
+use crate::control::Name;
+use crate::plane::Controller;
+use crate::plane::Controllers;
+use crate::plane::Input;
+use crate::plane::Order;
+
+/// An order of a role, to be sent while its lease is valid.
+#[derive(Debug)]
+pub(crate) struct Duty {
+    pub(crate) role: Name,
+    pub(crate) number: u64,
+    pub(crate) order: Order,
+    pub(crate) lease: Lease,
+}
+
+/// Controllers by role.
+pub(crate) struct Duties {
+    make: Controllers,
+    active: BTreeMap<Name, Controller>,
+}
+
+impl Duties {
+    pub(crate) fn new(make: Controllers) -> Self {
+        let active = BTreeMap::new();
+        Self { make, active }
+    }
+
+    /// Starts the controller of a role that was taken.
+    pub(crate) fn gained(
+        &mut self,
+        role: &Name,
+        config: Option<Arc<Config>>,
+        lease: Lease,
+        now: Time,
+    ) -> Vec<Duty> {
+        let Some(controller) = (self.make)(role) else {
+            return Vec::new();
+        };
+        self.active.insert(role.clone(), controller);
+        let mut duties = self.feed(role, Input::Gained(lease), lease, now);
+        if let Some(config) = config {
+            duties.extend(self.feed(role, Input::Adopted(config), lease, now));
+        }
+        duties
+    }
+
+    /// Drops the controller of a role that was lost.
+    pub(crate) fn lost(&mut self, role: &Name) {
+        self.active.remove(role);
+    }
+
+    /// Returns the roles that have a controller.
+    pub(crate) fn roles(&self) -> Vec<Name> {
+        self.active.keys().cloned().collect()
+    }
+
+    /// Gives an event to the controller of a role.
+    pub(crate) fn feed(&mut self, role: &Name, input: Input, lease: Lease, now: Time) -> Vec<Duty> {
+        let Some(controller) = self.active.get_mut(role) else {
+            return Vec::new();
+        };
+        controller(input, lease, now)
+            .into_iter()
+            .map(|(number, order)| Duty {
+                role: role.clone(),
+                number,
+                order,
+                lease,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/plane.rs
@@ -0,0 +1,238 @@
+//! Failure tests of the control plane over real sockets.
+
+#[allow(dead_code, unreachable_pub)]
+#[path = "support/net.rs"]
+mod net;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use wigeonhinge_standin::platform::Mode;
+use wigeonhinge_standin::vms;
+use wigeonhinged::plane::Message;
+
+use crate::net::Net;
+use crate::net::Node;
+use crate::net::get;
+use crate::net::names;
+use crate::net::within;
+
+/// Promise of the design for a configuration to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(5);
+
+/// Promise of the design for a role to be taken over.
+const TAKE_OVER: Duration = Duration::from_secs(8);
+
+const ZONES: [&str; 6] = ["a", "a", "b", "b", "c", "c"];
+
+fn in_force(nodes: &[Node], revision: u64) -> bool {
+    nodes.iter().all(|node| node.status().revision == revision)
+}
+
+/// Returns the revisions that a dispatch thread was told, in order.
+fn adopted(node: &Node) -> Vec<u64> {
+    let told = node.messages.drain();
+    told.filter_map(|message| match message {
+        Message::Adopt(config) => Some(config.revision),
+        _ => None,
+    })
+    .collect()
+}
+
+fn running(net: &Net) -> Vec<Node> {
+    net.edit("first");
+    let nodes = net.spawn_all();
+    within(IN_FORCE, "first revision", || in_force(&nodes, 1));
+    let count = nodes.len();
+    within(IN_FORCE, "members", || {
+        let live = |node: &Node| node.status().members.len() + 1 >= count.min(4);
+        nodes.iter().all(live)
+    });
+    nodes
+}
+
+/// Guards against entries that miss an edit, and against a readiness without configuration.
+#[test]
+fn adopt_everywhere() {
+    let net = Net::new(&ZONES);
+    let nodes = net.spawn_all();
+    assert_eq!(get(nodes[0].plane.admin(), "/readyz").0, 503);
+    assert_eq!(get(nodes[0].plane.admin(), "/healthz").0, 200);
+    net.edit("first");
+    within(IN_FORCE, "first revision", || in_force(&nodes, 1));
+    assert_eq!(get(nodes[0].plane.admin(), "/readyz").0, 200);
+    net.edit("second");
+    within(IN_FORCE, "second revision", || in_force(&nodes, 2));
+    assert!(nodes.iter().all(|node| adopted(node).is_sorted()));
+}
+
+/// Guards against entries that stop working when every lease has ended.
+#[test]
+fn store_out() {
+    let net = Net::new(&ZONES);
+    let nodes = running(&net);
+    within(TAKE_OVER, "roles", || roles(&nodes).len() == 2);
+    net.platform.state().mode = Mode::Hang;
+    std::thread::sleep(Duration::from_secs(8));
+    assert!(in_force(&nodes, 1));
+    assert!(roles(&nodes).is_empty(), "a role outlived its lease");
+    assert!(nodes.iter().all(|node| node.status().ready));
+    assert!(nodes.iter().all(|node| node.status().usable));
+    net.platform.state().mode = Mode::Up;
+    net.edit("second");
+    within(IN_FORCE, "second revision", || in_force(&nodes, 2));
+    within(TAKE_OVER, "roles", || roles(&nodes).len() == 2);
+    assert!(nodes.iter().all(|node| adopted(node) == [1, 2]));
+}
+
+/// Returns the roles that entries may act in, with the entry.
+fn roles(nodes: &[Node]) -> Vec<(String, String)> {
+    nodes
+        .iter()
+        .map(Node::status)
+        .flat_map(|status| {
+            let entry = status.entry.clone();
+            status
+                .roles
+                .into_keys()
+                .map(move |role| (role, entry.clone()))
+        })
+        .collect()
+}
+
+/// Guards against a zone that learns nothing while only the platform is out of reach.
+#[test]
+fn zone_cut_platform() {
+    let net = Net::new(&ZONES);
+    let nodes = running(&net);
+    for node in &nodes[..2] {
+        net.platform.state().cut.insert(node.settings.entry.clone());
+    }
+    net.edit("second");
+    within(IN_FORCE, "second revision", || in_force(&nodes, 2));
+}
+
+/// Guards against a zone that falls back while cut off, or stays behind after any path is healed.
+#[rstest::rstest]
+#[case::platform_heals(true)]
+#[case::peers_heal(false)]
+fn zone_cut_both(#[case] platform: bool) {
+    let net = Net::new(&ZONES);
+    let nodes = running(&net);
+    let (cut, rest) = nodes.split_at(2);
+    for node in cut {
+        net.platform.state().cut.insert(node.settings.entry.clone());
+        node.plane.block(names(rest));
+    }
+    for node in rest {
+        node.plane.block(names(cut));
+    }
+    net.edit("second");
+    within(IN_FORCE, "second revision", || in_force(rest, 2));
+    std::thread::sleep(Duration::from_secs(3));
+    assert!(in_force(cut, 1));
+    assert!(cut.iter().all(|node| node.status().ready));
+    if platform {
+        net.platform.state().cut.clear();
+    } else {
+        for node in &nodes {
+            node.plane.block(BTreeSet::new());
+        }
+    }
+    within(IN_FORCE, "healed", || in_force(cut, 2));
+    assert!(cut.iter().all(|node| adopted(node) == [1, 2]));
+}
+
+/// Guards against a new VM that cannot serve while the store is out.
+#[test]
+fn new_entry_store_out() {
+    let net = Net::new(&ZONES).with_peers();
+    net.edit("first");
+    let nodes: Vec<Node> = (0..5).map(|n| net.spawn(n)).collect();
+    within(IN_FORCE, "first revision", || in_force(&nodes, 1));
+    net.platform.state().mode = Mode::Down;
+    let fresh = net.spawn(5);
+    within(IN_FORCE, "new entry", || fresh.status().revision == 1);
+}
+
+/// Guards against an entry that pretends to be ready with neither store nor peers.
+#[test]
+fn new_entry_alone() {
+    let net = Net::new(&["a"]);
+    net.platform.state().mode = Mode::Down;
+    let node = net.spawn(0);
+    std::thread::sleep(Duration::from_secs(1));
+    let (status, body) = get(node.plane.admin(), "/readyz");
+    assert_eq!(status, 503);
+    assert!(body.contains("no configuration"), "{body}");
+}
+
+/// Guards against a revision that goes down when the store answers with an older value.
+#[test]
+fn store_stale() {
+    let net = Net::new(&ZONES[..2]);
+    let nodes = running(&net);
+    let old = net.platform.state().store.clone();
+    net.edit("second");
+    within(IN_FORCE, "second revision", || in_force(&nodes, 2));
+    net.platform.state().stale = Some(old);
+    std::thread::sleep(Duration::from_secs(5));
+    assert!(in_force(&nodes, 2));
+    net.platform.state().stale = None;
+    net.edit("third");
+    within(IN_FORCE, "third revision", || in_force(&nodes, 3));
+    assert!(nodes.iter().all(|node| adopted(node) == [1, 2, 3]));
+}
+
+/// Guards against a killed entry that keeps its roles or its share.
+#[test]
+fn entry_killed() {
+    let net = Net::new(&["a", "a", "a"]);
+    let mut nodes = running(&net);
+    within(TAKE_OVER, "roles", || roles(&nodes).len() == 2);
+    let (_, holder) = roles(&nodes).swap_remove(0);
+    let place = nodes.iter().position(|node| node.name() == holder.as_str());
+    let victim = nodes.remove(place.expect("holder"));
+    nodes[0].messages.drain();
+    victim.plane.kill();
+    let gone = |message| matches!(message, Message::Members(members) if members.len() == 2);
+    let shares = within(Duration::from_secs(3), "shares", || {
+        let mut told = nodes[0].messages.drain();
+        told.any(gone)
+    });
+    assert!(shares > Duration::from_millis(2_200), "{shares:?}");
+    within(TAKE_OVER - shares, "roles", || roles(&nodes).len() == 2);
+}
+
+/// Guards against a graceful stop that leaves the shares unused for seconds.
+#[test]
+fn entry_finished() {
+    let net = Net::new(&["a", "a"]);
+    let mut nodes = running(&net);
+    within(TAKE_OVER, "roles", || roles(&nodes).len() == 2);
+    nodes[1].plane.drain();
+    within(IN_FORCE, "not ready", || !nodes[1].status().ready);
+    let stopped = nodes.remove(1);
+    stopped.plane.finish();
+    within(Duration::from_millis(200), "shares", || {
+        let mut told = nodes[0].messages.drain();
+        told.any(|message| matches!(message, Message::Bye(_)))
+    });
+    within(Duration::from_secs(4), "roles", || roles(&nodes).len() == 2);
+}
+
+/// Guards against leaving VMs that only the entry that reads the VM list knows.
+#[test]
+fn leaving_spread() {
+    let net = Net::new(&ZONES);
+    let nodes = running(&net);
+    let now = std::time::Instant::now();
+    let set = |state| net.platform.state().vms.set("vm-1", state, now);
+    set(vms::State::Leaving);
+    let all = |count| move |node: &Node| node.status().leaving.len() == count;
+    within(Duration::from_secs(3), "leaving", || {
+        nodes.iter().all(all(1))
+    });
+    set(vms::State::Live);
+    within(Duration::from_secs(3), "back", || nodes.iter().all(all(0)));
+}
