--- /dev/null
+++ b/crates/daemon/tests/peer.rs
@@ -0,0 +1,237 @@
+//! Tests of the messages between entries.
+
+#[allow(dead_code, unreachable_pub)]
+#[path = "support/net.rs"]
+mod net;
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use proptest::prelude::any;
+use proptest::prelude::proptest;
+use slog::Drain;
+use slog::Logger;
+use slog::OwnedKVList;
+use slog::Record;
+use wigeonhinge_schema::peer::Heartbeat;
+use wigeonhinge_schema::peer::envelope::Body;
+use wigeonhinge_schema::settings::Settings;
+use wigeonhinge_standin::platform::Mode;
+use wigeonhinged::peer::decode;
+use wigeonhinged::peer::encode;
+use wigeonhinged::peer::fingerprint;
+use wigeonhinged::peer::identity;
+use wigeonhinged::plane::Options;
+
+use crate::net::Net;
+use crate::net::Node;
+use crate::net::pin;
+use crate::net::silent;
+use crate::net::within;
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Counts log records that contain a text.
+struct Counter(&'static str, Arc<AtomicUsize>);
+
+impl Drain for Counter {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), slog::Never> {
+        if record.msg().to_string().contains(self.0) {
+            self.1.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+}
+
+fn members(node: &Node, health: &str) -> usize {
+    let members = node.status().members;
+    let with = members.values().filter(|member| member.health == health);
+    with.count()
+}
+
+/// Guards against a configuration that is given to an unknown peer, and against
+/// a log that an unknown peer fills.
+#[test]
+fn unknown_peer() {
+    let mut net = Net::new(&["a", "a", "a"]).with_peers();
+    net.edit("first");
+    let stranger = net.settings.remove(2);
+    for settings in &mut net.settings {
+        settings.trusted.truncate(2);
+    }
+    let count = Arc::new(AtomicUsize::new(0));
+    let log = Logger::root(
+        Counter("unknown fingerprint", Arc::clone(&count)),
+        slog::o!(),
+    );
+    let known = Node::spawn(Options::new(net.settings[0].clone()), log);
+    let other = net.spawn(1);
+    within(LIMIT, "revision", || known.status().revision == 1);
+    net.platform.state().mode = Mode::Down;
+    let stranger = Node::spawn(Options::new(stranger), silent());
+    within(LIMIT, "log", || count.load(Ordering::Relaxed) > 0);
+    std::thread::sleep(Duration::from_secs(3));
+    let status = stranger.status();
+    assert_eq!((status.revision, status.counters.heard), (0, 0));
+    assert!(!known.status().members.contains_key("entry-2"));
+    assert_eq!(members(&other, "live"), 1);
+    assert_eq!(count.load(Ordering::Relaxed), 1);
+}
+
+/// Entries whose settings are files.
+struct Files {
+    folder: PathBuf,
+    settings: Vec<Settings>,
+}
+
+impl Files {
+    fn new(settings: &[Settings]) -> Self {
+        let name = format!("wigeonhinge-peer-{}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("folder");
+        let settings = settings.to_vec();
+        let files = Self { folder, settings };
+        files.write();
+        files
+    }
+
+    fn path(&self, entry: &str) -> PathBuf {
+        self.folder.join(entry)
+    }
+
+    fn write(&self) {
+        for settings in &self.settings {
+            let text = serde_json::to_string(settings).expect("json");
+            std::fs::write(self.path(&settings.entry), text).expect("write");
+        }
+    }
+
+    /// Changes the settings and gives the entries the time to notice.
+    fn change(&mut self, change: impl Fn(&mut Settings)) {
+        self.settings.iter_mut().for_each(change);
+        self.write();
+        std::thread::sleep(Duration::from_millis(2_500));
+    }
+
+    fn spawn(&self) -> Vec<Node> {
+        let node = |settings: &Settings| {
+            let mut options = Options::new(settings.clone());
+            options.file = Some(self.path(&settings.entry));
+            Node::spawn(options, silent())
+        };
+        self.settings.iter().map(node).collect()
+    }
+}
+
+impl Drop for Files {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Guards against a key change that needs a restart or loses a member, and
+/// against a removed key that still works.
+#[test]
+fn key_rotation() {
+    let net = Net::new(&["a", "a", "a"]).with_peers();
+    net.edit("first");
+    let mut files = Files::new(&net.settings);
+    let nodes = files.spawn();
+    let complete = || nodes.iter().all(|node| members(node, "live") == 2);
+    within(LIMIT, "members", complete);
+    let old = net.settings[0].identity.clone().expect("identity");
+    let new = identity("entry-0").expect("identity");
+    let added = pin(&new);
+    files.change(|settings| settings.trusted.push(added.clone()));
+    files.change(|settings| {
+        if settings.entry == "entry-0" {
+            settings.identity = Some(new.clone());
+        }
+    });
+    let removed = pin(&old);
+    files.change(|settings| settings.trusted.retain(|pin| *pin != removed));
+    assert!(complete(), "a member was lost by the rotation");
+    files.change(|settings| {
+        if settings.entry == "entry-0" {
+            settings.identity = Some(old.clone());
+        }
+    });
+    within(LIMIT, "removed key", || members(&nodes[1], "dead") == 1);
+    assert_eq!(members(&nodes[2], "dead"), 1);
+    assert_eq!(members(&nodes[2], "live"), 1);
+}
+
+/// Guards against a pause after which an entry still acts under its lease.
+#[test]
+fn paused_holder() {
+    let net = Net::new(&["a", "a"]);
+    net.edit("first");
+    type Acts = Vec<(String, String, u64)>;
+    let acts: Arc<Mutex<Acts>> = Arc::default();
+    let node = |settings: &Settings| {
+        let mut options = Options::new(settings.clone());
+        let (entry, acts) = (settings.entry.clone(), Arc::clone(&acts));
+        options.controllers = Arc::new(move |role| {
+            let (entry, acts, role) = (entry.clone(), Arc::clone(&acts), role.to_owned());
+            Some(Box::new(move |_, lease, _| {
+                let act = (entry.clone(), role.clone(), lease.fence());
+                acts.lock().expect("acts").push(act);
+                Vec::new()
+            }))
+        });
+        Node::spawn(options, silent())
+    };
+    let nodes: Vec<Node> = net.settings.iter().map(node).collect();
+    let last = |role: &str| {
+        let acts = acts.lock().expect("acts");
+        let of_role = acts.iter().rev().find(|act| act.1 == role);
+        of_role.cloned()
+    };
+    within(LIMIT, "roles", || last("fleet/north").is_some());
+    let (holder, _, fence) = last("fleet/north").expect("act");
+    let paused = nodes.iter().find(|node| node.settings.entry == holder);
+    let paused = paused.expect("holder");
+    paused.plane.stall(Duration::from_secs(10));
+    let taken = Duration::from_secs(9);
+    within(taken, "take-over", || {
+        last("fleet/north").is_some_and(|act| act.0 != holder)
+    });
+    let (_, _, higher) = last("fleet/north").expect("act");
+    assert!(higher > fence, "{higher} after {fence}");
+    let before = acts.lock().expect("acts").len();
+    std::thread::sleep(Duration::from_secs(4));
+    let acts = acts.lock().expect("acts");
+    let late = acts[before..]
+        .iter()
+        .filter(|act| act.0 == holder && act.2 == fence);
+    assert_eq!(late.count(), 0, "acts of the paused holder");
+    drop(acts);
+    assert_eq!(paused.status().counters.pauses, 1);
+}
+
+/// Guards against a kind of message that does not survive its encoding.
+#[test]
+fn encode_round() {
+    let beat = Body::Heartbeat(Heartbeat {
+        entry: "entry-1".to_owned(),
+        revision: 7,
+        ..Heartbeat::default()
+    });
+    assert_eq!(decode(&encode(beat.clone())).expect("message"), beat);
+    assert!(fingerprint("no certificate").is_err());
+}
+
+proptest! {
+    /// Guards against a panic on bytes that are no message.
+    #[test]
+    fn decode_arbitrary(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = decode(&bytes);
+    }
+}
