--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,10 +6,15 @@
 //! plane reaches the dispatch thread through [`Control`](dispatch::Control) and
 //! the platform through [`platform`].
 
+pub mod admin;
+pub mod control;
 pub mod daemon;
 pub mod dispatch;
+pub mod peer;
+pub mod plane;
 pub mod platform;
 pub mod settings;
+pub mod watch;
 
 mod exchange;
 mod flow;
