--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -46,7 +46,8 @@
 )]
 #[case("{\"entry\": \"e\"\n \"zone\" 1}", "2:9: value")]
 fn settings_fault(#[case] text: &str, #[case] expected: &str) {
-    let path = write(&format!("fault-{}", expected.len()), text);
+    let name = expected.replace(|letter: char| !letter.is_alphanumeric(), "-");
+    let path = write(&format!("fault-{name}"), text);
     let error = Settings::open(&path).unwrap_err().to_string();
     let expected = format!("{}:{expected}", path.display());
     assert!(error.contains(&expected), "{error}\nlacks\n{expected}");
