--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -10,6 +10,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use slog::info;
 use wigeonhinge::gateway::Event;
 use wigeonhinge_schema::fleet::Fleet;
 
@@ -19,6 +20,7 @@
 use crate::listen;
 use crate::listen::Order;
 use crate::listen::Thread;
+use crate::report::Report;
 use crate::settings::Settings;
 
 /// Where the fleet of an entry comes from.
@@ -61,12 +63,21 @@
 }
 
 impl Daemon {
-    /// Starts an entry and returns once it listens.
+    /// Starts an entry without log and metrics and returns once it listens.
     ///
     /// # Errors
     ///
     /// Fails if the address cannot be bound or a thread cannot be started.
     pub fn spawn(settings: &Settings, source: Source) -> io::Result<Self> {
+        Self::start(settings, source, Report::discard())
+    }
+
+    /// Starts an entry and returns once it listens.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound or a thread cannot be started.
+    pub fn start(settings: &Settings, source: Source, report: Report) -> io::Result<Self> {
         let phase = Phase::default();
         let sockets = listen::bind(settings.listen, settings.threads)?;
         let address = sockets[0].local_addr()?;
@@ -74,13 +85,13 @@
         let control = desk.control();
         let mut threads = Vec::new();
         let mut mailboxes = Vec::new();
-        let shared = listen::Shared::new(settings, phase.clone(), desk);
+        let shared = listen::Shared::new(settings, phase.clone(), desk, report.clone());
         for (index, socket) in sockets.into_iter().enumerate() {
             let (mailbox, replies) = dispatch::mailbox();
             mailboxes.push(mailbox);
             threads.push(listen::spawn(index, socket, replies, shared.clone())?);
         }
-        let state = Dispatch::new(settings, inbox, mailboxes);
+        let state = Dispatch::new(settings, inbox, mailboxes, report.clone());
         let dispatch = thread::Builder::new()
             .name("dispatch".into())
             .spawn(move || state.run())?;
@@ -89,6 +100,7 @@
             control.send(Event::Members(BTreeSet::from([settings.entry.clone()])));
             control.send(Event::Confirmed);
         }
+        info!(report.log(), "listen: started"; "address" => %address);
         Ok(Self {
             address,
             drain: settings.drain,
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -6,7 +6,6 @@
 //! cancelled.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -18,6 +17,8 @@
 use flume::Receiver;
 use flume::RecvTimeoutError;
 use flume::Sender;
+use slog::info;
+use slog::warn;
 use wigeonhinge::Time;
 use wigeonhinge::gateway::Action;
 use wigeonhinge::gateway::Arrival;
@@ -32,12 +33,15 @@
 use wigeonhinge::outcome::Kind;
 use wigeonhinge_schema::fleet::Fleet;
 
+use crate::report::Report;
 use crate::settings::Settings;
 
 const INBOX: usize = 16_384;
 const MAILBOX: usize = 16_384;
 const ACTIONS: usize = 1_024;
 const TICK: Duration = Duration::from_millis(20);
+/// Time between two reports of the gateway's state.
+const GAUGES: Duration = Duration::from_secs(1);
 const HEALTH_PATH: &str = "/healthz";
 
 /// Connects the control plane with the dispatch thread.
@@ -222,27 +226,30 @@
     threads: BTreeMap<Ticket, usize>,
     services: BTreeMap<ServiceId, CompactString>,
     owners: BTreeMap<UpstreamId, ServiceId>,
-    adopted: bool,
+    report: Report,
 }
 
 impl Dispatch {
-    pub(crate) fn new(settings: &Settings, inbox: Inbox, mailboxes: Vec<Sender<Letter>>) -> Self {
-        let mut gateway = Gateway::new(settings.entry.clone(), settings.zone.clone());
-        let members = BTreeSet::from([settings.entry.clone()]);
-        gateway.handle(Event::Members(members), Time::ZERO);
+    pub(crate) fn new(
+        settings: &Settings,
+        inbox: Inbox,
+        mailboxes: Vec<Sender<Letter>>,
+        report: Report,
+    ) -> Self {
         Self {
-            gateway,
+            gateway: Gateway::new(settings.entry.clone(), settings.zone.clone()),
             inbox,
             mailboxes,
             threads: BTreeMap::new(),
             services: BTreeMap::new(),
             owners: BTreeMap::new(),
-            adopted: false,
+            report,
         }
     }
 
     pub(crate) fn run(mut self) {
         let mut tick = Instant::now() + TICK;
+        let mut gauge = tick;
         loop {
             match self.inbox.messages.recv_deadline(tick) {
                 Ok(Message::Close) | Err(RecvTimeoutError::Disconnected) => return,
@@ -254,6 +261,10 @@
                 tick = now + TICK;
                 self.feed(Event::Tick);
             }
+            if now >= gauge {
+                gauge = now + GAUGES;
+                self.report.gateway(&self.gateway.status());
+            }
         }
     }
 
@@ -265,11 +276,11 @@
                 self.threads.remove(&ticket);
                 self.feed(Event::Cancel(ticket));
             }
-            Message::Leaving { upstream, leaving } => self.feed(match leaving {
-                true => Event::Announced(upstream),
-                false => Event::Rejoined(upstream),
-            }),
-            Message::Suspect(upstream) => self.feed(Event::Suspect(upstream)),
+            Message::Leaving { upstream, leaving } => self.leaving(upstream, leaving),
+            Message::Suspect(upstream) => {
+                warn!(self.report.log(), "exchange: probe not answered"; "upstream" => %upstream);
+                self.feed(Event::Suspect(upstream));
+            }
             Message::Snapshot(answer) => {
                 let _ = answer.try_send(Snapshot {
                     status: self.gateway.status(),
@@ -287,38 +298,28 @@
     }
 
     fn arrive(&mut self, thread: usize, arrival: Arrival) {
-        let ticket = arrival.ticket;
-        self.threads.insert(ticket, thread);
-        if !self.adopted {
-            self.reply(ticket, Reply::Refuse(Kind::NotReady));
-        } else if !self.services.contains_key(&arrival.service) {
-            self.reply(ticket, Reply::Refuse(Kind::UnknownService));
-        } else {
-            self.feed(Event::Arrive(arrival));
-        }
+        self.threads.insert(arrival.ticket, thread);
+        self.feed(Event::Arrive(arrival));
     }
 
-    /// Reports how sending ended; a failure that the gateway does not act on is final.
     fn report(&mut self, ticket: Ticket, sent: Sent) {
-        let event = Event::Report { ticket, sent };
-        let actions = self.gateway.handle(event, self.now());
-        let acted = actions.iter().any(|action| match action {
-            Action::Send { ticket: other, .. } => *other == ticket,
-            Action::Fail { ticket: other, .. } => *other == ticket,
-            _ => false,
-        });
-        match sent {
-            Sent::Answered { .. } => {
-                self.threads.remove(&ticket);
-            }
-            Sent::Failed(kind) if !acted => self.reply(ticket, Reply::Refuse(kind)),
-            Sent::Failed(_) => {}
+        if let Sent::Answered { .. } = sent {
+            self.threads.remove(&ticket);
         }
-        self.act(actions);
+        self.feed(Event::Report { ticket, sent });
+    }
+
+    fn leaving(&mut self, upstream: UpstreamId, leaving: bool) {
+        let log = self.report.log();
+        info!(log, "exchange: upstream announced"; "upstream" => %upstream, "leaving" => leaving);
+        self.feed(match leaving {
+            true => Event::Announced(upstream),
+            false => Event::Rejoined(upstream),
+        });
     }
 
     fn adopt(&mut self, fleet: &Fleet) {
-        self.adopted = true;
+        info!(self.report.log(), "dispatch: fleet adopted"; "upstreams" => fleet.upstreams.len());
         self.services = fleet
             .rules
             .iter()
--- a/crates/daemon/src/flow.rs
+++ b/crates/daemon/src/flow.rs
@@ -23,6 +23,7 @@
 use wigeonhinge::gateway::Arrival;
 use wigeonhinge::gateway::Sent;
 use wigeonhinge::id::CallerId;
+use wigeonhinge::id::ServiceId;
 use wigeonhinge::id::Ticket;
 use wigeonhinge::outcome::Kind;
 use wigeonhinge::outcome::Run;
@@ -35,6 +36,8 @@
 use crate::exchange::Sending;
 use crate::flow::headers::Call;
 use crate::flow::pending::Pending;
+use crate::listen::Shared;
+use crate::report::Report;
 use crate::settings::Limits;
 
 /// Time past a request's deadline for which the dispatch thread may still decide.
@@ -46,16 +49,18 @@
     desk: Desk,
     pool: Rc<Pool>,
     limits: Limits,
+    report: Report,
     waiting: RefCell<BTreeMap<Ticket, Sender<Reply>>>,
 }
 
 impl Flow {
-    pub(crate) fn new(thread: usize, desk: Desk, pool: Rc<Pool>, limits: Limits) -> Rc<Self> {
+    pub(crate) fn new(thread: usize, pool: Rc<Pool>, shared: &Shared) -> Rc<Self> {
         Rc::new(Self {
             thread,
-            desk,
             pool,
-            limits,
+            desk: shared.desk.clone(),
+            limits: shared.limits,
+            report: shared.report.clone(),
             waiting: RefCell::default(),
         })
     }
@@ -90,10 +95,12 @@
         caller: IpAddr,
         began: Instant,
     ) -> Response<Bytes> {
-        match self.handle(request, caller, began).await {
-            Ok(answer) => answer,
-            Err(kind) => headers::refusal(kind),
-        }
+        let mut service = None;
+        let result = self.handle(request, caller, began, &mut service).await;
+        let kind = result.as_ref().err().copied();
+        self.report
+            .request(service.as_deref(), kind, began.elapsed());
+        result.unwrap_or_else(headers::refusal)
     }
 
     async fn handle(
@@ -101,9 +108,11 @@
         request: Request<Incoming>,
         caller: IpAddr,
         began: Instant,
+        service: &mut Option<ServiceId>,
     ) -> Result<Response<Bytes>, Kind> {
         let (parts, body) = request.into_parts();
         let call = headers::classify(parts)?;
+        *service = Some(call.service.clone());
         let body = self.receive(body, began + self.limits.receive).await?;
         let deadline = Instant::now() + call.deadline;
         let mut pending = self.admit(&call, caller, deadline)?;
@@ -129,6 +138,7 @@
                     return Ok(headers::answer(answer, &id));
                 }
                 Err(kind) => {
+                    self.report.exchange(&target.upstream, kind);
                     if kind.answer().run != Run::NotRun {
                         written = Some(kind);
                     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod dispatch;
 pub mod platform;
+pub mod report;
 pub mod settings;
 
 mod exchange;
@@ -18,4 +19,5 @@
 pub use crate::daemon::Daemon;
 pub use crate::daemon::Source;
 pub use crate::dispatch::Control;
+pub use crate::report::Report;
 pub use crate::settings::Settings;
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -49,6 +49,7 @@
 use crate::listen::guard::Sealed;
 use crate::listen::guard::Watch;
 use crate::listen::limits::Counts;
+use crate::report::Report;
 use crate::settings::Limits;
 use crate::settings::Settings;
 
@@ -80,21 +81,23 @@
 /// What the I/O threads of an entry share.
 #[derive(Clone, Debug)]
 pub(crate) struct Shared {
-    limits: Limits,
+    pub(crate) limits: Limits,
+    pub(crate) desk: Desk,
+    pub(crate) report: Report,
     phase: Phase,
-    desk: Desk,
     counts: Arc<Counts>,
     threads: usize,
 }
 
 impl Shared {
-    pub(crate) fn new(settings: &Settings, phase: Phase, desk: Desk) -> Self {
+    pub(crate) fn new(settings: &Settings, phase: Phase, desk: Desk, report: Report) -> Self {
         Self {
             limits: settings.limits,
             phase,
             desk,
             counts: Arc::new(Counts::new(settings.limits)),
             threads: settings.threads,
+            report,
         }
     }
 }
@@ -179,7 +182,7 @@
         shared.threads,
     );
     let _upkeep = compio::runtime::spawn(Rc::clone(&pool).upkeep());
-    let flow = Flow::new(index, shared.desk.clone(), pool, shared.limits);
+    let flow = Flow::new(index, pool, &shared);
     let _router = compio::runtime::spawn(Rc::clone(&flow).route(letters));
     let (finish, finished) = flume::bounded(0);
     let server = Rc::new(Server {
@@ -244,10 +247,12 @@
     async fn connection(&self, stream: TcpStream, caller: IpAddr) {
         let watch = Rc::new(Watch::new());
         let mut guard = Guard::new(HyperStream::new_plain(stream), Rc::clone(&watch));
-        let Some(_permit) = self.shared.counts.admit(caller) else {
+        let Some(permit) = self.shared.counts.admit(caller) else {
+            self.shared.report.connection_refused();
             guard.refuse(Kind::TooManyConnections);
             return guard.close().await;
         };
+        self.shared.report.connections(permit.total);
         let service = service_fn(|request| {
             let began = watch.call();
             let watch = Rc::clone(&watch);
--- a/crates/daemon/src/listen/limits.rs
+++ b/crates/daemon/src/listen/limits.rs
@@ -28,6 +28,8 @@
 pub(crate) struct Permit {
     caller: IpAddr,
     counts: Arc<Counts>,
+    /// Connections of all callers, this one included.
+    pub(crate) total: usize,
 }
 
 impl Counts {
@@ -51,6 +53,7 @@
         Some(Permit {
             caller,
             counts: Arc::clone(self),
+            total: open.total,
         })
     }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,57 @@
 //! The entry daemon.
 
-fn main() {}
+use std::path::PathBuf;
+
+use eyre::Result;
+use eyre::WrapErr;
+use futures_util::future;
+use gumdrop::Options;
+use slog::info;
+use wigeonhinged::Daemon;
+use wigeonhinged::Report;
+use wigeonhinged::Settings;
+use wigeonhinged::Source;
+
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
+
+/// Options of the command line.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help", no_short)]
+    help: bool,
+    #[options(
+        help = "settings file (JSON with comments)",
+        meta = "FILE",
+        no_short,
+        required
+    )]
+    settings: PathBuf,
+}
+
+fn main() -> Result<()> {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let settings = Settings::open(&arguments.settings)?;
+    let report = Report::open(&settings).wrap_err("cannot open the log and the metrics")?;
+    let daemon = Daemon::start(&settings, Source::Control, report.clone())
+        .wrap_err_with(|| format!("cannot listen on {}", settings.listen))?;
+    wait_for_signal().wrap_err("cannot wait for signals")?;
+    info!(report.log(), "listen: signal received, stopping");
+    daemon.stop();
+    info!(report.log(), "listen: stopped");
+    Ok(())
+}
+
+fn wait_for_signal() -> Result<()> {
+    let mut proactor = compio::driver::ProactorBuilder::new();
+    proactor.driver_type(compio::driver::DriverType::Poll);
+    let runtime = compio::runtime::Runtime::builder()
+        .with_proactor(proactor)
+        .build()?;
+    runtime.block_on(async {
+        let interrupt = Box::pin(compio::signal::unix::signal(SIGINT));
+        let terminate = Box::pin(compio::signal::unix::signal(SIGTERM));
+        let (result, _) = future::select(interrupt, terminate).await.factor_first();
+        Ok(result?)
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/report.rs
@@ -0,0 +1,193 @@
+//! Logs and metrics.
+//!
+//! `docs/metrics.md` lists every metric with its unit.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cadence::BufferedUdpMetricSink;
+use cadence::Counted;
+use cadence::CountedExt;
+use cadence::Gauged;
+use cadence::QueuingMetricSink;
+use cadence::StatsdClient;
+use cadence::Timed;
+use slog::Discard;
+use slog::Drain;
+use slog::Logger;
+use slog::o;
+use wigeonhinge::gateway::Status;
+use wigeonhinge::outcome::Kind;
+
+use crate::settings::Log;
+use crate::settings::Settings;
+
+const PREFIX: &str = "wigeonhinge";
+/// Metrics that wait for the sending thread; more are dropped.
+const WAITING: usize = 16_384;
+/// Log records that wait for the writing thread; more are dropped and counted.
+const RECORDS: usize = 1_024;
+/// Label of requests that were refused before their service was known.
+const NO_SERVICE: &str = "none";
+
+/// Logs and metrics of an entry.
+#[derive(Clone, Debug)]
+pub struct Report {
+    log: Logger,
+    metrics: Option<Arc<StatsdClient>>,
+}
+
+impl Report {
+    /// Opens the log and the metrics that the settings ask for.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no UDP socket can be bound.
+    pub fn open(settings: &Settings) -> io::Result<Self> {
+        let log = Logger::root(
+            drain(settings.log),
+            o!("entry" => settings.entry.to_string(), "zone" => settings.zone.to_string()),
+        );
+        let metrics = settings.metrics.map(|address| client(address, settings));
+        let metrics = metrics.transpose()?.map(Arc::new);
+        Ok(Self { log, metrics })
+    }
+
+    /// Logs and measures nothing.
+    pub fn discard() -> Self {
+        Self {
+            log: Logger::root(Discard, o!()),
+            metrics: None,
+        }
+    }
+
+    /// Returns the logger.
+    pub fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    /// Counts a request and its time; `kind` is `None` for an upstream's answer.
+    pub(crate) fn request(&self, service: Option<&str>, kind: Option<Kind>, time: Duration) {
+        let Some(metrics) = &self.metrics else {
+            return;
+        };
+        let service = match kind {
+            Some(Kind::UnknownService) => NO_SERVICE,
+            _ => service.unwrap_or(NO_SERVICE),
+        };
+        let result = kind.map_or("answered", |kind| kind.answer().name);
+        metrics
+            .count_with_tags("request.count", 1)
+            .with_tag("service", service)
+            .with_tag("result", result)
+            .send();
+        metrics
+            .time_with_tags("request.time", time)
+            .with_tag("service", service)
+            .send();
+    }
+
+    /// Counts an exchange with an upstream that failed.
+    pub(crate) fn exchange(&self, upstream: &str, kind: Kind) {
+        if let Some(metrics) = &self.metrics {
+            metrics
+                .count_with_tags("exchange.failed", 1)
+                .with_tag("upstream", upstream)
+                .with_tag("kind", kind.answer().name)
+                .send();
+        }
+    }
+
+    /// Counts a caller's connection that was refused.
+    pub(crate) fn connection_refused(&self) {
+        if let Some(metrics) = &self.metrics {
+            let _ = metrics.incr("connection.refused");
+        }
+    }
+
+    /// Reports callers' open connections.
+    pub(crate) fn connections(&self, count: usize) {
+        if let Some(metrics) = &self.metrics {
+            let _ = metrics.gauge("connection.open", count as u64);
+        }
+    }
+
+    /// Reports the state of the gateway.
+    pub(crate) fn gateway(&self, status: &Status) {
+        let Some(metrics) = &self.metrics else {
+            return;
+        };
+        for (name, service) in &status.services {
+            let gauges = [
+                ("queue.length", service.queued),
+                ("queue.running", service.running),
+            ];
+            for (gauge, value) in gauges {
+                metrics
+                    .gauge_with_tags(gauge, value as u64)
+                    .with_tag("service", name)
+                    .send();
+            }
+        }
+        for (name, upstream) in &status.upstreams {
+            let gauges = [
+                ("upstream.allowed", u64::from(upstream.allowed)),
+                ("upstream.running", u64::from(upstream.running)),
+                ("upstream.leaving", u64::from(upstream.leaving)),
+                ("upstream.ejected", u64::from(upstream.ejected)),
+            ];
+            for (gauge, value) in gauges {
+                metrics
+                    .gauge_with_tags(gauge, value)
+                    .with_tag("upstream", name)
+                    .send();
+            }
+        }
+    }
+}
+
+fn client(address: SocketAddr, settings: &Settings) -> io::Result<StatsdClient> {
+    let local: SocketAddr = match address {
+        SocketAddr::V4(_) => ([0, 0, 0, 0], 0).into(),
+        SocketAddr::V6(_) => ([0; 16], 0).into(),
+    };
+    let socket = UdpSocket::bind(local)?;
+    socket.set_nonblocking(true)?;
+    let sink = BufferedUdpMetricSink::from(address, socket).map_err(io::Error::other)?;
+    let sink = QueuingMetricSink::with_capacity(sink, WAITING);
+    Ok(StatsdClient::builder(PREFIX, sink)
+        .with_tag("entry", &settings.entry)
+        .with_tag("zone", &settings.zone)
+        .build())
+}
+
+fn drain(log: Log) -> slog::Fuse<slog_async::Async> {
+    let build = |drain| {
+        slog_async::Async::new(drain)
+            .chan_size(RECORDS)
+            .build()
+            .fuse()
+    };
+    match log {
+        Log::Json => build(boxed(slog_json::Json::default(io::stderr()))),
+        Log::Terminal => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            build(boxed(slog_term::FullFormat::new(decorator).build()))
+        }
+    }
+}
+
+type Boxed = slog::Fuse<Box<dyn slog::SendSyncRefUnwindSafeDrain<Ok = (), Err = slog::Never>>>;
+
+fn boxed<D>(drain: D) -> Boxed
+where
+    D: Drain<Ok = (), Err = io::Error> + Send + 'static,
+{
+    let drain = std::sync::Mutex::new(drain.ignore_res()).ignore_res();
+    let drain: Box<dyn slog::SendSyncRefUnwindSafeDrain<Ok = (), Err = slog::Never>> =
+        Box::new(drain);
+    drain.fuse()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,11 +5,6 @@
 //! - [`upstream`] answers requests, with the faults that a test asks for.
 //! - [`caller`] sends a seeded load and compares the answers with the ledgers.
 //! - [`fleet`] builds small fleets over such upstreams.
-//! [`platform`] serves the store, the VM list and the workers over HTTP on
-//! loopback, with faults that a test switches on. [`upstream`] answers requests,
-//! with the faults that a test asks for. [`caller`] sends a seeded load and
-//! compares the answers with the upstreams' ledgers. [`fleet`] builds small
-//! fleets over such upstreams.
 
 pub mod caller;
 pub mod fleet;
--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -29,7 +29,6 @@
 pub mod ledger;
 pub mod membership;
 pub mod outcome;
-pub mod outcome;
 pub mod retry;
 pub mod role;
 pub mod route;
