--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peer;
 pub mod plane;
 pub mod platform;
+pub mod report;
 pub mod settings;
 pub mod watch;
 
@@ -23,4 +24,5 @@
 pub use crate::daemon::Daemon;
 pub use crate::daemon::Source;
 pub use crate::dispatch::Control;
+pub use crate::report::Report;
 pub use crate::settings::Settings;
