Check the gateway against an oracle and fix what it found

Three faults: a loan at an upstream that was removed was never returned; an upstream that was removed and added again while requests ran there had its slots used twice; a late answer to a question counted as the answer to a later one, which lengthened its term. A removed upstream now stays known until its requests and lent slots are gone, and a question is kept for 5 s. Four waiting retries could also keep a slot from everything behind them; the pass now looks past 32.

--- a/crates/wigeonhinge/src/gateway.rs
+++ b/crates/wigeonhinge/src/gateway.rs
@@ -324,6 +324,7 @@
         self.router.set(index, allowed);
         self.settle(index);
         self.limit(index);
+        self.purge(index);
     }
 
     /// Returns the slots of an upstream that are at this entry's disposal.
--- a/crates/wigeonhinge/src/gateway/adopt.rs
+++ b/crates/wigeonhinge/src/gateway/adopt.rs
@@ -6,6 +6,7 @@
 
 use wigeonhinge_schema::fleet;
 
+use crate::gateway::Action;
 use crate::gateway::Gateway;
 use crate::gateway::Service;
 use crate::gateway::ServiceStatus;
@@ -48,7 +49,9 @@
 
     /// Takes what an upstream announced about itself.
     pub(super) fn announce(&mut self, name: UpstreamId, leaving: bool) {
-        let Some(index) = self.upstream_names.get(&name).copied() else {
+        let index = self.upstream_names.get(&name).copied();
+        let configured = |index: &Index| self.upstreams.get(index).is_some_and(|it| !it.gone);
+        let Some(index) = index.filter(configured) else {
             return;
         };
         let changed = if leaving {
@@ -62,16 +65,21 @@
         }
     }
 
-    /// Forgets an upstream that is no longer configured and has no request.
+    /// Forgets an upstream that is no longer configured, once nobody uses this entry's slots there.
     pub(super) fn purge(&mut self, index: Index) {
-        let gone = self.upstreams.get(&index).is_some_and(|it| it.gone);
-        if !gone || self.router.busy(index) > 0 {
+        let upstream = self.upstreams.get(&index).filter(|it| it.gone);
+        let unused = self.router.busy(index) == 0 && self.loans.sums(index).lent == 0;
+        let Some(upstream) = upstream.filter(|_| unused) else {
             return;
+        };
+        if self.upstream_names.get(&upstream.name) == Some(&index) {
+            self.upstream_names.remove(&upstream.name);
+        }
+        for (entry, loan) in self.loans.remove(index) {
+            self.actions.push(Action::Return { entry, loan });
         }
-        self.settle(index);
         self.router.remove(index);
         self.shares.remove(index);
-        self.loans.remove(index);
         self.upstreams.remove(&index);
         for changed in self.ejector.remove(index) {
             self.refresh(changed);
@@ -160,7 +168,8 @@
     /// Adds or changes an upstream; returns its number.
     ///
     /// One that moved to another service, VM or zone is a new one: the requests
-    /// at the old one keep their place there.
+    /// at the old one keep their place there. One that was removed and still
+    /// has requests is the same: they occupy its slots.
     fn adopt_upstream(&mut self, rule: &fleet::Upstream, near: bool) -> Option<Index> {
         let address = rule.address.parse().ok()?;
         let name = UpstreamId::from(&rule.name);
@@ -173,6 +182,7 @@
         let current = known.and_then(|index| self.upstreams.get_mut(&index));
         let index = if let Some(upstream) = current.filter(same) {
             upstream.address = address;
+            upstream.gone = false;
             known?
         } else {
             self.numbers.index += 1;
@@ -207,11 +217,9 @@
         };
         upstream.gone = true;
         if self.upstream_names.get(&upstream.name) == Some(&index) {
-            self.upstream_names.remove(&upstream.name);
             self.announced.remove(&upstream.name);
         }
         self.refresh(index);
-        self.purge(index);
     }
 
     /// Counts the upstreams of each service that are not leaving.
--- a/crates/wigeonhinge/src/gateway/flow.rs
+++ b/crates/wigeonhinge/src/gateway/flow.rs
@@ -24,7 +24,9 @@
 const COOLING: Duration = Duration::from_secs(1);
 
 /// Requests that are passed over in one pass because only upstreams that they failed on are free.
-const ASIDE: usize = 4;
+///
+/// More than the retries that a budget can save up, so that retries keep no slot from others.
+const ASIDE: usize = 32;
 
 /// Weight of a new service time in the mean, as a divisor.
 const MEAN: u32 = 16;
--- a/crates/wigeonhinge/src/gateway/lend.rs
+++ b/crates/wigeonhinge/src/gateway/lend.rs
@@ -28,6 +28,7 @@
                 Some(Listed {
                     service: upstream.service,
                     upstream: index,
+                    name: name.clone(),
                     far: !upstream.near,
                     rank: share::order(name, &self.entry).0,
                     slots: *slots,
@@ -55,6 +56,7 @@
             let ask = Ask {
                 entry: entry.clone(),
                 upstream: index,
+                name: upstream.clone(),
                 slots,
             };
             loan = self.loans.lend(&ask, self.now);
@@ -79,6 +81,7 @@
         let ask = self.upstream_names.get(upstream).map(|index| Ask {
             entry: entry.clone(),
             upstream: *index,
+            name: upstream.clone(),
             slots,
         });
         let taken = ask
@@ -124,13 +127,19 @@
         let waiting = u32::try_from(self.admission.len(service)).unwrap_or(u32::MAX);
         let pools = [Some(service), self.spare.filter(|spare| *spare != service)];
         for pool in pools.into_iter().flatten() {
-            let mut want = waiting.min(ASKED).saturating_sub(self.loans.asked(pool));
+            let mut want = waiting
+                .min(ASKED)
+                .saturating_sub(self.loans.asked(pool, self.now));
             while want > 0 {
                 let Some(ask) = self.loans.ask(pool, want, self.now) else {
                     break;
                 };
                 want -= ask.slots.min(want);
-                self.ask(ask);
+                self.actions.push(Action::Borrow {
+                    entry: ask.entry,
+                    upstream: ask.name,
+                    slots: ask.slots,
+                });
             }
         }
     }
@@ -155,14 +164,4 @@
             self.actions.push(Action::Return { entry, loan });
         }
     }
-
-    fn ask(&mut self, ask: Ask) {
-        if let Some(upstream) = self.upstreams.get(&ask.upstream) {
-            self.actions.push(Action::Borrow {
-                entry: ask.entry,
-                upstream: upstream.name.clone(),
-                slots: ask.slots,
-            });
-        }
-    }
 }
--- a/crates/wigeonhinge/src/share/loan.rs
+++ b/crates/wigeonhinge/src/share/loan.rs
@@ -11,14 +11,23 @@
 use crate::id::EntryId;
 use crate::id::Index;
 use crate::id::Time;
+use crate::id::UpstreamId;
 use crate::share::SUSPECT;
 
 /// Time from the question in which a borrower starts work on a loan.
 pub(crate) const TERM: Duration = Duration::from_secs(1);
 
-/// Time after which an unanswered question is given up.
+/// Time after which an unanswered question no longer keeps others from being asked.
 pub(crate) const ANSWER: Duration = Duration::from_millis(250);
 
+/// Time after which an unanswered question is forgotten.
+///
+/// Answers carry no number of their question. Until then the same peer is not
+/// asked for the same upstream again, so that a late answer is not taken for
+/// the answer to a later question, which would lengthen its term. A connection
+/// between peers has to close after a shorter silence.
+pub(crate) const FORGET: Duration = Duration::from_secs(5);
+
 /// Time after which a lender uses its slots again although no return came.
 ///
 /// A borrower in another zone may have died; work on a loan may also take
@@ -32,6 +41,8 @@
     pub(crate) entry: EntryId,
     /// Upstream.
     pub(crate) upstream: Index,
+    /// Name of the upstream.
+    pub(crate) name: UpstreamId,
     /// Slots.
     pub(crate) slots: u32,
 }
@@ -41,7 +52,7 @@
 pub(crate) struct Loans {
     offers: BTreeMap<Index, BTreeSet<Offer>>,
     offered: BTreeMap<EntryId, Vec<(Index, Offer)>>,
-    asked: BTreeMap<(EntryId, Index), Question>,
+    asked: BTreeMap<(EntryId, UpstreamId), Question>,
     borrowed: BTreeMap<(EntryId, u64), Borrowed>,
     lent: BTreeMap<u64, Lent>,
     last: u64,
@@ -49,12 +60,14 @@
 }
 
 /// Slots of an upstream in a peer's list of offers.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Listed {
     /// Service of the upstream.
     pub(crate) service: Index,
     /// Upstream.
     pub(crate) upstream: Index,
+    /// Name of the upstream.
+    pub(crate) name: UpstreamId,
     /// Whether it is in another zone.
     pub(crate) far: bool,
     /// Position among the offers of its kind; differs between entries.
@@ -69,6 +82,7 @@
     far: bool,
     rank: u64,
     upstream: Index,
+    name: UpstreamId,
     entry: EntryId,
     slots: u32,
     until: Time,
@@ -77,6 +91,7 @@
 #[derive(Debug)]
 struct Question {
     service: Index,
+    upstream: Index,
     slots: u32,
     asked: Time,
 }
@@ -121,6 +136,7 @@
                 far: item.far,
                 rank: item.rank,
                 upstream: item.upstream,
+                name: item.name.clone(),
                 entry: entry.clone(),
                 slots: item.slots,
                 until: now + SUSPECT,
@@ -137,35 +153,34 @@
     /// Takes the next offer for a service and notes the question.
     pub(crate) fn ask(&mut self, service: Index, slots: u32, now: Time) -> Option<Ask> {
         let offers = self.offers.get_mut(&service)?;
-        let offer = loop {
+        let (key, offer) = loop {
             let offer = offers.pop_first()?;
-            let asked = self
-                .asked
-                .contains_key(&(offer.entry.clone(), offer.upstream));
-            if offer.until > now && !asked {
-                break offer;
+            let key = (offer.entry.clone(), offer.name.clone());
+            if offer.until > now && !self.asked.contains_key(&key) {
+                break (key, offer);
             }
         };
         let slots = slots.min(offer.slots);
         let question = Question {
             service,
+            upstream: offer.upstream,
             slots,
             asked: now,
         };
-        let key = (offer.entry.clone(), offer.upstream);
         self.asked.insert(key, question);
         Some(Ask {
             entry: offer.entry,
             upstream: offer.upstream,
+            name: offer.name,
             slots,
         })
     }
 
-    /// Returns the slots of a service that are asked for.
-    pub(crate) fn asked(&self, service: Index) -> u32 {
+    /// Returns the slots of a service that are asked for and may still be granted soon.
+    pub(crate) fn asked(&self, service: Index, now: Time) -> u32 {
         self.asked
             .values()
-            .filter(|question| question.service == service)
+            .filter(|question| question.service == service && question.asked + ANSWER > now)
             .map(|question| question.slots)
             .sum()
     }
@@ -174,12 +189,13 @@
     ///
     /// A loan that nothing waits for is to be given back at once.
     pub(crate) fn take(&mut self, ask: &Ask, loan: u64, now: Time) -> bool {
-        let key = (ask.entry.clone(), ask.upstream);
+        let key = (ask.entry.clone(), ask.name.clone());
         let Some(question) = self.asked.remove(&key) else {
             return self.borrowed.contains_key(&(ask.entry.clone(), loan));
         };
         let until = question.asked + TERM;
-        let fits = ask.slots <= question.slots && until > now;
+        let same = ask.upstream == question.upstream;
+        let fits = same && ask.slots <= question.slots && until > now;
         if !fits || ask.slots == 0 {
             return ask.slots == 0;
         }
@@ -199,7 +215,7 @@
     pub(crate) fn expire(&mut self, now: Time) -> Vec<Index> {
         let mut changed = Vec::new();
         self.asked
-            .retain(|_, question| question.asked + ANSWER > now);
+            .retain(|_, question| question.asked + FORGET > now);
         for borrowed in self.borrowed.values_mut() {
             if !borrowed.closing && borrowed.until <= now {
                 borrowed.close(&mut self.sums);
@@ -282,15 +298,15 @@
         !self.borrowed.is_empty()
     }
 
-    /// Removes an upstream together with its offers, questions and loans.
-    pub(crate) fn remove(&mut self, upstream: Index) {
+    /// Removes an upstream without requests and lent slots; returns lender and identifier of the loans held there.
+    pub(crate) fn remove(&mut self, upstream: Index) -> Vec<(EntryId, u64)> {
         for offers in self.offers.values_mut() {
             offers.retain(|offer| offer.upstream != upstream);
         }
-        self.asked.retain(|(_, asked), _| *asked != upstream);
-        self.borrowed.retain(|_, loan| loan.upstream != upstream);
-        self.lent.retain(|_, loan| loan.upstream != upstream);
         self.sums.remove(&upstream);
+        let held = |_: &(EntryId, u64), loan: &mut Borrowed| loan.upstream == upstream;
+        let held = self.borrowed.extract_if(.., held);
+        held.map(|(key, _)| key).collect()
     }
 }
 
--- a/crates/wigeonhinge/tests/gateway.rs
+++ b/crates/wigeonhinge/tests/gateway.rs
@@ -386,3 +386,66 @@
     };
     assert_eq!(actions, [limit]);
 }
+
+/// Guards against slots that are used a second time when an upstream is removed and added again
+/// while requests run there, and against a loan there that is never returned.
+#[test]
+fn adopt_again() {
+    let zones = ["a", "b"];
+    let mut pair = pair(zones, &fleet(&zones, &["crews"], 2, 2));
+    for ticket in 0..3 {
+        arrive(&mut pair[0], ticket, "crews", ms(0));
+    }
+    let asked = offer(&mut pair, 1, ms(1));
+    exchange(&mut pair, 0, asked, ms(1));
+    pair[0].handle(adopt(Fleet::default()), ms(2));
+    pair[0].handle(adopt(fleet(&zones, &["crews"], 2, 2)), ms(3));
+    assert!(sends(&arrive(&mut pair[0], 3, "crews", ms(3))).is_empty());
+    pair[0].handle(adopt(Fleet::default()), ms(4));
+    let actions = report(&mut pair[0], 2, OK, ms(5));
+    assert!(actions.iter().any(|it| matches!(it, Action::Return { .. })));
+}
+
+/// Guards against a late answer that is taken for the answer to a later question.
+#[test]
+fn loan_late() {
+    let zones = ["a", "b"];
+    let mut pair = pair(zones, &fleet(&zones, &["crews"], 2, 1));
+    arrive(&mut pair[0], 0, "crews", ms(0));
+    arrive(&mut pair[0], 1, "crews", ms(0));
+    let asked = |actions: Vec<Action>| {
+        let asks = actions
+            .iter()
+            .filter(|it| matches!(it, Action::Borrow { .. }));
+        asks.count()
+    };
+    let event = |slots| Event::Offers {
+        entry: "e2".into(),
+        slots: [("crews-1".into(), slots)].into(),
+    };
+    assert_eq!(asked(pair[0].handle(event(1), ms(0))), 1);
+    assert_eq!(asked(pair[0].handle(event(1), ms(900))), 0);
+    let loan = Event::Loan {
+        entry: "e2".into(),
+        upstream: "crews-1".into(),
+        slots: 1,
+        loan: 1,
+    };
+    assert!(sends(&pair[0].handle(loan, ms(1_000))).is_empty());
+}
+
+/// Guards against a free slot that stays idle because many retries must not use it.
+#[test]
+fn fill_retries() {
+    let mut gateway = ready(fleet(&["a"], &["crews"], 2, 8));
+    serve(&mut gateway, 100, ms(0));
+    let mut failing = Vec::new();
+    for ticket in 0..40 {
+        let sent = sends(&arrive(&mut gateway, ticket, "crews", ms(0)));
+        failing.extend(sent.into_iter().filter(|(_, name)| name == "crews-0"));
+    }
+    for (ticket, _) in failing {
+        let failed = Sent::Failed(Kind::RefusedByUpstream);
+        assert_eq!(sends(&report(&mut gateway, ticket, failed, ms(0))).len(), 1);
+    }
+}
