--- a/crates/wigeonhinge/src/place.rs
+++ b/crates/wigeonhinge/src/place.rs
@@ -310,6 +310,32 @@
         self.claims.values().any(|(claimant, _)| claimant == job)
     }
 
+    /// Adds the racks of workers that a job failed on, as failures within a rack
+    /// are correlated; gives up the racks, then all, where nothing else is left.
+    pub fn apart(&self, workers: BTreeSet<VmId>) -> BTreeSet<VmId> {
+        if workers.is_empty() {
+            return workers;
+        }
+        let at = workers.iter().filter_map(|name| self.names.get(name));
+        let racks: BTreeSet<(&str, &str)> = at.map(|at| self.workers[*at].domain()).collect();
+        let wide = self
+            .workers
+            .iter()
+            .filter(|worker| racks.contains(&worker.domain()));
+        let wide: BTreeSet<VmId> = wide.map(|worker| worker.name.clone()).collect();
+        let left = |avoid: &BTreeSet<VmId>| {
+            let usable = self.workers.iter().filter(|worker| worker.usable);
+            usable.clone().any(|worker| !avoid.contains(&worker.name))
+        };
+        if left(&wide) {
+            return wide;
+        }
+        if left(&workers) {
+            return workers;
+        }
+        BTreeSet::new()
+    }
+
     /// Returns the throttled tasks that can have their processors back.
     pub fn relieved(&self) -> Vec<JobId> {
         let throttled = self.held.iter().filter(|(_, held)| held.throttled);
@@ -399,6 +425,10 @@
         (self.total.acc > 0, &self.zone, &self.rack, &self.name)
     }
 
+    fn domain(&self) -> (&str, &str) {
+        (&self.zone, &self.rack)
+    }
+
     fn within(&self, zone: &str) -> bool {
         zone.is_empty() || self.zone == zone
     }
--- a/crates/wigeonhinge/src/place/health.rs
+++ b/crates/wigeonhinge/src/place/health.rs
@@ -25,8 +25,12 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    workers: BTreeMap<VmId, BTreeSet<JobId>>,
+    /// Failed jobs of each worker since its last success, with whether the job
+    /// succeeded on another worker since.
+    workers: BTreeMap<VmId, BTreeMap<JobId, bool>>,
+    /// Workers that each job failed on.
     jobs: BTreeMap<JobId, BTreeSet<VmId>>,
+    /// Workers that succeeded and have no strikes.
     proven: BTreeSet<VmId>,
 }
 
@@ -42,33 +46,36 @@
 }
 
 impl Health {
-    /// Takes a failure. A job that is found at fault has its strikes against
-    /// workers withdrawn, so that bad jobs quarantine no worker for long.
+    /// Takes a failure of a job that may be tried again. It is a strike against
+    /// the worker as long as the job failed on no other worker; a job that fails
+    /// on a second one is the more likely cause.
     pub fn failed(&mut self, worker: &VmId, job: &JobId) -> Verdict {
-        self.jobs
-            .entry(job.clone())
-            .or_default()
-            .insert(worker.clone());
+        let on = self.jobs.entry(job.clone()).or_default();
+        on.insert(worker.clone());
         let strikes = self.workers.entry(worker.clone()).or_default();
-        strikes.insert(job.clone());
-        if strikes.len() >= STRIKES {
-            self.proven.remove(worker);
-        }
+        strikes.insert(job.clone(), false);
         if self.at_fault(job) {
             self.withdraw(job);
             return Verdict::BadJob;
         }
         if self.bad(worker) {
+            self.proven.remove(worker);
             return Verdict::BadWorker;
         }
         Verdict::Again
     }
 
-    /// Takes a success, which clears the worker and the job.
+    /// Takes a success. It clears the worker, and confirms the strikes of the
+    /// job against the workers that it failed on.
     pub fn succeeded(&mut self, worker: &str, job: &str) {
         self.workers.remove(worker);
-        self.jobs.remove(job);
         self.proven.insert(worker.into());
+        for other in self.jobs.remove(job).unwrap_or_default() {
+            let strikes = self.workers.get_mut(&other);
+            if let Some(confirmed) = strikes.and_then(|strikes| strikes.get_mut(job)) {
+                *confirmed = true;
+            }
+        }
     }
 
     /// Forgets a job that ended, but not its strikes against workers.
@@ -89,19 +96,22 @@
 
     /// Whether a worker has too many strikes.
     pub fn bad(&self, worker: &str) -> bool {
-        let strikes = self.workers.get(worker);
-        strikes.is_some_and(|strikes| strikes.len() >= STRIKES)
+        let strikes = self.workers.get(worker).into_iter().flatten();
+        let counted = strikes.filter(|(job, confirmed)| {
+            let elsewhere = self.jobs.get(*job).is_some_and(|on| on.len() > 1);
+            **confirmed || !elsewhere
+        });
+        counted.count() >= STRIKES
     }
 
-    /// Whether a job failed on several workers that are not at fault themselves:
-    /// one of them has run other work, or they are too many to be all at fault.
+    /// Whether a job failed on several workers that are not all at fault: one of
+    /// them has run other work, or they are too many.
     fn at_fault(&self, job: &str) -> bool {
         let Some(on) = self.jobs.get(job) else {
             return false;
         };
-        let sound = on.iter().filter(|worker| !self.bad(worker)).count();
         let proven = on.iter().any(|worker| self.proven.contains(worker));
-        on.len() >= 2 * STRIKES || (sound >= STRIKES && proven)
+        on.len() >= 2 * STRIKES || (on.len() >= STRIKES && proven)
     }
 
     fn withdraw(&mut self, job: &str) {
--- a/crates/wigeonhinge/src/scheduler/pass.rs
+++ b/crates/wigeonhinge/src/scheduler/pass.rs
@@ -149,8 +149,7 @@
         let owned = self.quotas.admit(&job.team, age, size);
         let waited = self.unix(now).saturating_sub(job.submitted_ms);
         let long = u128::from(waited) >= RECLAIM_WAIT.as_millis();
-        let avoid = self.health.avoid(id);
-        let all = avoid.len() >= self.placer.names().len();
+        let avoid = self.placer.apart(self.health.avoid(id));
         Request {
             size,
             level: place::level(job.priority, !owned),
@@ -158,7 +157,7 @@
             group: job.group.clone(),
             movable: job.idempotent,
             preempt: owned && (job.priority == 0 || long),
-            avoid: if all { Default::default() } else { avoid },
+            avoid,
             seed: seed(id),
         }
     }
--- a/crates/wigeonhinge/src/scheduler/tasks/health.rs
+++ b/crates/wigeonhinge/src/scheduler/tasks/health.rs
@@ -36,20 +36,32 @@
             return;
         };
         let (idempotent, worker) = (job.idempotent, live.worker.clone());
-        let verdict = self.health.failed(&worker, id);
+        let again = idempotent || !ran;
+        // A run that cannot be repeated elsewhere does not tell who is at fault.
+        let verdict = if again {
+            self.health.failed(&worker, id)
+        } else {
+            Verdict::BadJob
+        };
         if verdict == Verdict::BadWorker {
             self.suspect(&worker, now);
         }
         let failures = self.failures.entry(id.clone()).or_default();
         *failures += 1;
         let worn = *failures >= MAX_FAILURES;
-        if verdict == Verdict::BadJob || worn || (ran && !idempotent) {
+        if verdict == Verdict::BadJob || worn {
             return self.finish(id, State::Failed, reason, now);
         }
         self.requeue(id, ran, now);
     }
 
+    /// Holds a worker back, as far as the budget of the pool allows, but one in
+    /// any case: when more than that fail, the jobs are the more likely cause,
+    /// and trying them on the other workers tells.
     fn suspect(&mut self, worker: &VmId, now: Time) {
+        if self.suspects.len() >= self.slack().max(1) {
+            return;
+        }
         let suspect = Suspect {
             since: now,
             asked: false,
@@ -65,15 +77,11 @@
         if self.suspects.is_empty() {
             return;
         }
-        let out = self.placer.names().filter(|name| {
-            let phase = self.phases.get(*name);
-            !phase.is_some_and(|phase| place::takes(*phase))
-        });
         let asked = self.suspects.iter().filter(|(name, suspect)| {
             let phase = self.phases.get(*name);
             suspect.asked && phase.is_some_and(|phase| place::takes(*phase))
         });
-        let mut spare = self.budget.saturating_sub(out.count() + asked.count());
+        let mut slack = self.slack().saturating_sub(asked.count());
         let mut cleared = Vec::new();
         let mut confirmed = Vec::new();
         for (name, suspect) in &mut self.suspects {
@@ -81,8 +89,8 @@
                 cleared.push(name.clone());
             } else if suspect.asked || now < suspect.since + CONFIRM {
                 continue;
-            } else if spare > 0 {
-                spare -= 1;
+            } else if slack > 0 {
+                slack -= 1;
                 suspect.asked = true;
                 confirmed.push(name.clone());
             } else if now >= suspect.since + PROBATION {
@@ -101,6 +109,15 @@
         }
     }
 
+    /// Counts the workers that may become unavailable within the budget.
+    fn slack(&self) -> usize {
+        let out = self.placer.names().filter(|name| {
+            let phase = self.phases.get(*name);
+            !phase.is_some_and(|phase| place::takes(*phase))
+        });
+        self.budget.saturating_sub(out.count())
+    }
+
     /// Trusts the suspects again that were out of service since.
     pub(super) fn return_suspects(&mut self) {
         let mut back = Vec::new();
