Explore every order of a job start and bind a start to an incarnation

A start that was delayed past a takeover and a restart of its worker ran the job a second time: the restart made the worker forget the fence and the stopped task. A start now names the incarnation that it is meant for.

--- a/crates/cli/src/measure/world/worker.rs
+++ b/crates/cli/src/measure/world/worker.rs
@@ -78,6 +78,9 @@
         }
         self.fence = self.fence.max(fence);
         match command {
+            Command::Start { incarnation, .. } if incarnation != self.incarnation => {
+                return Reply::StartFailed("the worker restarted".into());
+            }
             Command::Start { size, resume, .. } => {
                 let saved = if resume { saved } else { Time::ZERO };
                 return self.start(task, size, truth, (saved, now));
--- a/crates/wigeonhinge/src/scheduler/api.rs
+++ b/crates/wigeonhinge/src/scheduler/api.rs
@@ -197,6 +197,9 @@
         resume: bool,
         /// The worker stops the task when no renewal arrives for this long.
         ttl: Time,
+        /// Incarnation that the start is meant for; the worker fails the start
+        /// in any other, as a restart made it forget which starts to refuse.
+        incarnation: u64,
     },
     /// Extend the lease of the task by its time to live.
     Renew,
--- a/crates/wigeonhinge/src/scheduler/tasks.rs
+++ b/crates/wigeonhinge/src/scheduler/tasks.rs
@@ -212,6 +212,7 @@
 
     fn try_start(&mut self, id: &JobId, now: Time) {
         let valid = self.ready(now);
+        let incarnation = self.jobs.get(id).map_or(0, |job| job.incarnation);
         let Some(live) = self.live.get_mut(id) else {
             return;
         };
@@ -227,6 +228,7 @@
             size: live.size.into(),
             resume: live.resume,
             ttl: TASK_TTL,
+            incarnation,
         };
         self.send(id, start);
         self.arm(id, now, REPLY_WAIT);
--- /dev/null
+++ b/crates/wigeonhinge/tests/explore.rs
@@ -0,0 +1,554 @@
+//! Exhaustive exploration of a job start over the shipped scheduler.
+//!
+//! Two schedulers that both believe their lease to be valid at all times, a
+//! store with CAS, two workers, and a network that delays, reorders and loses
+//! answers. The job is not idempotent: it must begin to run once at most.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pathfinding::directed::bfs::bfs;
+use rstest::rstest;
+use wigeonhinge::id::Time;
+use wigeonhinge::id::VmId;
+use wigeonhinge::scheduler::Action;
+use wigeonhinge::scheduler::Command;
+use wigeonhinge::scheduler::Entry;
+use wigeonhinge::scheduler::Event;
+use wigeonhinge::scheduler::Reply;
+use wigeonhinge::scheduler::Report;
+use wigeonhinge::scheduler::Scheduler;
+use wigeonhinge::scheduler::Task;
+use wigeonhinge_schema::fleet::Fleet;
+use wigeonhinge_schema::fleet::Vm;
+use wigeonhinge_schema::jobs::Job;
+use wigeonhinge_schema::jobs::Size;
+use wigeonhinge_schema::ledger::Phase;
+
+/// Guards of the protocol that a variant removes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Removed {
+    fences: bool,
+    refusals: bool,
+    incarnations: bool,
+    record: bool,
+    cas: bool,
+}
+
+/// Faults that may still happen.
+#[derive(Clone, Copy, Debug, Hash)]
+struct Bounds {
+    takeovers: u32,
+    lost: u32,
+    outages: u32,
+    restarts: u32,
+    ticks: [u32; 2],
+}
+
+#[derive(Clone, Debug)]
+struct Node {
+    scheduler: Rc<Scheduler>,
+    hash: u64,
+    now: Time,
+}
+
+#[derive(Clone, Debug, Default, Hash)]
+struct Worker {
+    incarnation: u64,
+    fence: u64,
+    tasks: BTreeMap<Task, bool>,
+    refused: BTreeSet<Task>,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Store(usize, Action),
+    Command(usize, VmId, Task, Command, u64),
+    Event(usize, Event),
+}
+
+#[derive(Clone, Debug)]
+struct State {
+    nodes: Vec<Node>,
+    log: BTreeMap<u64, Rc<Entry>>,
+    workers: BTreeMap<VmId, Worker>,
+    network: BTreeMap<String, Rc<Message>>,
+    bounds: Bounds,
+    fence: u64,
+    runs: u32,
+    /// A running task was stopped with an outdated fence.
+    stale_stop: bool,
+    removed: Removed,
+    key: u128,
+}
+
+impl PartialEq for State {
+    fn eq(&self, other: &Self) -> bool {
+        self.key == other.key
+    }
+}
+
+impl Eq for State {}
+
+impl Hash for State {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.key.hash(state);
+    }
+}
+
+impl State {
+    fn new(bounds: Bounds, removed: Removed) -> Self {
+        let scheduler = |entry: &str| {
+            let mut scheduler = Scheduler::new("crews".into(), entry.into(), 0);
+            scheduler.handle(Event::Adopt(Box::new(fleet())), Time::ZERO);
+            scheduler.handle(Event::Reports(reports()), Time::ZERO);
+            Node {
+                scheduler: Rc::new(scheduler),
+                hash: 0,
+                now: Time::ZERO,
+            }
+        };
+        let worker = || Worker {
+            incarnation: 1,
+            ..Worker::default()
+        };
+        let mut state = Self {
+            nodes: vec![scheduler("entry-0"), scheduler("entry-1")],
+            log: BTreeMap::new(),
+            workers: ["w0", "w1"].map(|name| (name.into(), worker())).into(),
+            network: BTreeMap::new(),
+            bounds,
+            fence: 1,
+            runs: 0,
+            stale_stop: false,
+            removed,
+            key: 0,
+        };
+        state.handle(0, lease(1));
+        state.settle();
+        let job = Box::new(job());
+        state.handle(0, Event::Submit { ticket: 1, job });
+        state.step(0);
+        state.settle();
+        // The entries see different workers in service, so that they place the
+        // job differently.
+        state.handle(0, phases("w0"));
+        state.handle(1, phases("w1"));
+        state.step(0);
+        state.settle();
+        state.seal();
+        state
+    }
+
+    /// Delivers all messages without a fault.
+    fn settle(&mut self) {
+        while let Some((_, message)) = self.network.pop_first() {
+            self.deliver(&message);
+        }
+    }
+
+    fn step(&mut self, node: usize) {
+        self.nodes[node].now += Duration::from_secs(3);
+        self.handle(node, Event::Tick);
+    }
+
+    /// Returns the states that can follow.
+    fn next(&self) -> Vec<Self> {
+        let mut next = Vec::new();
+        for (key, message) in &self.network {
+            let mut taken = self.clone();
+            taken.network.remove(key);
+            let mut delivered = taken.clone();
+            delivered.deliver(message);
+            next.push(delivered);
+            next.extend(taken.lose(message));
+        }
+        for node in 0..2 {
+            next.extend(self.tick(node));
+        }
+        next.extend(self.takeover());
+        next.extend(self.restart());
+        next.iter_mut().for_each(Self::seal);
+        next
+    }
+
+    /// Loses an answer, or a request to the store in an outage.
+    fn lose(mut self, message: &Message) -> Option<Self> {
+        match message {
+            Message::Event(node, event) if self.bounds.lost > 0 => {
+                self.bounds.lost -= 1;
+                self.handle(*node, lost(event));
+            }
+            Message::Store(node, _) if self.bounds.outages > 0 => {
+                self.bounds.outages -= 1;
+                self.handle(*node, Event::Unavailable);
+            }
+            _ => return None,
+        }
+        Some(self)
+    }
+
+    fn tick(&self, node: usize) -> Option<Self> {
+        let mut next = self.clone();
+        next.bounds.ticks[node] = next.bounds.ticks[node].checked_sub(1)?;
+        next.step(node);
+        Some(next)
+    }
+
+    /// Passes the role to the second entry; the first one does not notice.
+    fn takeover(&self) -> Option<Self> {
+        let mut next = self.clone();
+        next.bounds.takeovers = next.bounds.takeovers.checked_sub(1)?;
+        next.fence += 1;
+        let lease = lease(next.fence);
+        next.handle(usize::from(next.fence.is_multiple_of(2)), lease);
+        Some(next)
+    }
+
+    /// Restarts the first worker, which forgets everything.
+    fn restart(&self) -> Option<Self> {
+        let mut next = self.clone();
+        next.bounds.restarts = next.bounds.restarts.checked_sub(1)?;
+        let worker = next.workers.get_mut("w0")?;
+        *worker = Worker {
+            incarnation: worker.incarnation + 1,
+            ..Worker::default()
+        };
+        Some(next)
+    }
+
+    fn deliver(&mut self, message: &Message) {
+        match message {
+            Message::Store(node, action) => self.store(*node, action),
+            Message::Event(node, event) => self.handle(*node, event.clone()),
+            Message::Command(node, name, task, command, fence) => {
+                let reply = self.command(name, task, *command, *fence);
+                let event = Event::Reply {
+                    worker: name.clone(),
+                    task: task.clone(),
+                    command: *command,
+                    incarnation: self.workers[name].incarnation,
+                    reply,
+                };
+                self.send(Message::Event(*node, event));
+            }
+        }
+    }
+
+    fn handle(&mut self, node: usize, event: Event) {
+        let state = &mut self.nodes[node];
+        let actions = Rc::make_mut(&mut state.scheduler).handle(event, state.now);
+        state.hash = 0;
+        for action in actions {
+            match action {
+                Action::Append(_) | Action::Read { .. } | Action::Recover => {
+                    if self.removed.record {
+                        self.start_early(node, &action);
+                    }
+                    self.send(Message::Store(node, action));
+                }
+                Action::Worker {
+                    worker,
+                    task,
+                    command,
+                    fence,
+                } => {
+                    self.send(Message::Command(node, worker, task, command, fence));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Sends the starts of a batch before it is recorded.
+    fn start_early(&mut self, node: usize, action: &Action) {
+        let Action::Append(batch) = action else {
+            return;
+        };
+        for job in batch.jobs.iter().filter(|job| !job.worker.is_empty()) {
+            let task = Task {
+                job: job.id.as_str().into(),
+                attempt: job.attempts,
+            };
+            let command = Command::Start {
+                size: Size::default(),
+                resume: false,
+                ttl: Time::ZERO,
+                incarnation: job.incarnation,
+            };
+            let worker = job.worker.as_str().into();
+            self.send(Message::Command(node, worker, task, command, job.fence));
+        }
+    }
+
+    fn store(&mut self, node: usize, action: &Action) {
+        let event = match action {
+            Action::Append(batch) if self.log.contains_key(&batch.seq) && !self.removed.cas => {
+                Event::Conflict { seq: batch.seq }
+            }
+            Action::Append(batch) => {
+                let entry = Entry {
+                    version: 1,
+                    batch: (**batch).clone(),
+                };
+                self.log.insert(batch.seq, Rc::new(entry));
+                Event::Stored {
+                    seq: batch.seq,
+                    version: 1,
+                }
+            }
+            Action::Read { seq } => {
+                let entry = self.log.get(seq).map(|entry| (**entry).clone());
+                Event::Read { seq: *seq, entry }
+            }
+            _ => Event::Recovered {
+                snapshot: None,
+                batches: self.log.values().map(|entry| (**entry).clone()).collect(),
+            },
+        };
+        self.send(Message::Event(node, event));
+    }
+
+    fn command(&mut self, name: &VmId, task: &Task, command: Command, fence: u64) -> Reply {
+        let removed = self.removed;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return Reply::Lost;
+        };
+        let stale = fence < worker.fence;
+        if stale && !removed.fences {
+            return Reply::Fenced;
+        }
+        worker.fence = worker.fence.max(fence);
+        let running = worker.tasks.get(task).copied();
+        match (command, running) {
+            (Command::Start { incarnation, .. }, None) => {
+                if incarnation != worker.incarnation && !removed.incarnations {
+                    return Reply::StartFailed("restarted".into());
+                }
+                if worker.refused.contains(task) && !removed.refusals {
+                    return Reply::Stopped { ran: false };
+                }
+                worker.tasks.insert(task.clone(), true);
+                self.runs += 1;
+                Reply::Running
+            }
+            (_, Some(false)) => Reply::Stopped { ran: true },
+            (Command::Stop, Some(true)) => {
+                worker.tasks.insert(task.clone(), false);
+                self.stale_stop |= stale;
+                Reply::Stopped { ran: true }
+            }
+            (Command::Stop, None) => {
+                worker.refused.insert(task.clone());
+                Reply::Stopped { ran: false }
+            }
+            (_, Some(true)) => Reply::Running,
+            (_, None) => Reply::Absent,
+        }
+    }
+
+    fn send(&mut self, message: Message) {
+        let mut key = format!("{message:?}");
+        while self.network.contains_key(&key) {
+            key.push('+');
+        }
+        self.network.insert(key, Rc::new(message));
+    }
+
+    /// Computes the key that states are compared by, from all of their content.
+    fn seal(&mut self) {
+        for node in &mut self.nodes {
+            if node.hash == 0 {
+                let mut hasher = DefaultHasher::new();
+                format!("{:?}", node.scheduler).hash(&mut hasher);
+                node.hash = hasher.finish() | 1;
+            }
+        }
+        self.key = u128::from(self.digest(1)) << 64 | u128::from(self.digest(2));
+    }
+
+    fn digest(&self, salt: u64) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        salt.hash(&mut hasher);
+        for node in &self.nodes {
+            (node.hash, node.now).hash(&mut hasher);
+        }
+        for (seq, entry) in &self.log {
+            (seq, entry.batch.fence, entry.batch.jobs.len()).hash(&mut hasher);
+            entry.batch.jobs.hash(&mut hasher);
+        }
+        self.network.keys().for_each(|key| key.hash(&mut hasher));
+        (
+            &self.workers,
+            self.bounds,
+            self.fence,
+            self.runs,
+            self.stale_stop,
+        )
+            .hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+#[rstest]
+#[case::takeover(bounds([1, 1, 0, 0], [2, 3]))]
+#[case::outage(bounds([1, 0, 1, 0], [2, 3]))]
+#[case::restart(bounds([1, 0, 0, 1], [1, 3]))]
+#[case::alone(bounds([0, 2, 1, 1], [4, 0]))]
+#[case::back(bounds([2, 0, 0, 0], [2, 2]))]
+fn start_once(#[case] bounds: Bounds) {
+    // Guards against a second start across takeovers, pauses, lost answers,
+    // outages of the store and restarts of workers.
+    let start = State::new(bounds, Removed::default());
+    let states = explore(start);
+    println!("{bounds:?}: {} states", states.count);
+    assert_eq!(states.most_runs, 1, "the job starts, and never twice");
+    assert!(!states.stale_stop);
+}
+
+#[rstest]
+#[case::start_before_record(
+    Removed { record: true, ..Removed::default() },
+    bounds([1, 0, 0, 0], [1, 3])
+)]
+#[case::no_cas(
+    Removed { cas: true, ..Removed::default() },
+    bounds([1, 0, 0, 0], [1, 3])
+)]
+#[case::no_refusals(
+    Removed { refusals: true, ..Removed::default() },
+    bounds([0, 1, 0, 0], [5, 0])
+)]
+#[case::no_incarnations(
+    Removed { incarnations: true, ..Removed::default() },
+    bounds([1, 0, 0, 1], [1, 4])
+)]
+fn start_twice_without(#[case] removed: Removed, #[case] bounds: Bounds) {
+    // Shows that the exploration finds the fault that each guard prevents.
+    let start = State::new(bounds, removed);
+    let path = bfs(&start, State::next, |state| state.runs > 1);
+    let path = path.expect("a counterexample");
+    println!("{removed:?}: counterexample of {} steps", path.len() - 1);
+}
+
+#[test]
+fn stop_stale_without_fences() {
+    // Shows that without fences an entry that lost the role stops a task of the
+    // entry that has it; the refusal of stopped tasks alone already keeps the
+    // task from starting twice.
+    let removed = Removed {
+        fences: true,
+        ..Removed::default()
+    };
+    let start = State::new(bounds([1, 1, 0, 0], [3, 3]), removed);
+    let path = bfs(&start, State::next, |state| state.stale_stop);
+    let path = path.expect("a counterexample");
+    println!("{removed:?}: counterexample of {} steps", path.len() - 1);
+}
+
+/// Bounds on takeovers, lost answers, outages and restarts, and on the ticks of
+/// each entry.
+fn bounds([takeovers, lost, outages, restarts]: [u32; 4], ticks: [u32; 2]) -> Bounds {
+    Bounds {
+        takeovers,
+        lost,
+        outages,
+        restarts,
+        ticks,
+    }
+}
+
+struct Explored {
+    count: usize,
+    most_runs: u32,
+    stale_stop: bool,
+}
+
+/// Visits every reachable state.
+fn explore(start: State) -> Explored {
+    let mut explored = Explored {
+        count: 0,
+        most_runs: 0,
+        stale_stop: false,
+    };
+    let reached = pathfinding::directed::bfs::bfs_reach(start, State::next);
+    for state in reached {
+        explored.count += 1;
+        explored.most_runs = explored.most_runs.max(state.runs);
+        explored.stale_stop |= state.stale_stop;
+    }
+    explored
+}
+
+fn lost(event: &Event) -> Event {
+    match event {
+        Event::Reply {
+            worker,
+            task,
+            command,
+            ..
+        } => Event::Reply {
+            worker: worker.clone(),
+            task: task.clone(),
+            command: *command,
+            incarnation: 0,
+            reply: Reply::Lost,
+        },
+        _ => Event::Unavailable,
+    }
+}
+
+fn lease(fence: u64) -> Event {
+    Event::Lease {
+        fence,
+        until: Duration::from_secs(1_000_000),
+    }
+}
+
+fn job() -> Job {
+    Job {
+        id: "pay".into(),
+        priority: 0,
+        size: Some(Size {
+            millicores: 1_000,
+            memory_mb: 1_024,
+            accelerators: 0,
+        }),
+        idempotent: false,
+        ..Job::default()
+    }
+}
+
+fn fleet() -> Fleet {
+    let vm = |name: &str| Vm {
+        name: name.into(),
+        pool: "crews".into(),
+        zone: "zone".into(),
+        rack: name.into(),
+        cores: 4,
+        memory_mb: 8_192,
+        accelerators: 0,
+    };
+    Fleet {
+        inventory: vec![vm("w0"), vm("w1")],
+        ..Fleet::default()
+    }
+}
+
+fn phases(active: &str) -> Event {
+    Event::Phases([(active.into(), Phase::Active)].into())
+}
+
+fn reports() -> Vec<Report> {
+    let report = |name: &str| Report {
+        worker: name.into(),
+        incarnation: 1,
+        tasks: Vec::new(),
+    };
+    vec![report("w0"), report("w1")]
+}
