Join request path, control plane and role controllers into one entry

The fleet and jobs controllers drive the library's state machines through orders to the platform. Heartbeats carry what the newest ledgers say of VMs out of service, so that every entry stops sending to them without reading the ledger, and the VMs out of service that still have requests, so that no reboot cuts one off. Submitters of jobs ask any entry on its admin port; the question is passed on to the holder of the pool's role.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,4 +1,4 @@
-//! The operators' HTTP port: `/healthz`, `/readyz` and `/status`.
+//! The operators' HTTP port: `/healthz`, `/readyz`, `/status` and `/jobs/`.
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -9,13 +9,21 @@
 use compio::net::TcpStream;
 use cyper_core::CompioTimer;
 use cyper_core::HyperStream;
+use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use wigeonhinge::id::PoolId;
+use wigeonhinge_schema::jobs::Job;
+
+use crate::plane::JobAnswer;
+use crate::plane::JobAsk;
 
 pub use crate::plane::Counters;
 pub use crate::plane::Member;
@@ -30,8 +38,28 @@
 /// Time within which the control plane has to answer.
 const PATIENCE: Duration = Duration::from_secs(1);
 
-/// Asks the control plane for its state.
-pub(crate) type Ask = flume::Sender<Status>;
+/// Time within which a submitter of jobs gets an answer.
+const JOB_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Bytes of a submitted job.
+const JOB_BYTES: usize = 64 * 1024;
+
+/// Question to the control plane.
+#[derive(Debug)]
+pub(crate) enum Ask {
+    /// Its state.
+    Status(flume::Sender<Status>),
+    /// A question of a submitter of jobs.
+    Job(Question),
+}
+
+/// Question of a submitter of jobs.
+#[derive(Debug)]
+pub(crate) struct Question {
+    pub(crate) pool: PoolId,
+    pub(crate) ask: JobAsk,
+    pub(crate) reply: flume::Sender<JobAnswer>,
+}
 
 /// Serves operators until the control plane stops.
 pub(crate) async fn serve(listener: TcpListener, asks: flume::Sender<Ask>) {
@@ -56,10 +84,8 @@
 
 async fn converse(stream: TcpStream, asks: flume::Sender<Ask>) {
     let service = service_fn(|request| {
-        let method = request.method().clone();
-        let path = path(&request);
         let asks = asks.clone();
-        async move { Ok::<_, Infallible>(respond(&method, &path, &asks).await) }
+        async move { Ok::<_, Infallible>(respond(request, &asks).await) }
     });
     // A failed connection is the operator's affair.
     let _ = http1::Builder::new()
@@ -69,11 +95,61 @@
         .await;
 }
 
-fn path<B>(request: &Request<B>) -> String {
-    request.uri().path().to_owned()
+async fn respond(request: Request<Incoming>, asks: &flume::Sender<Ask>) -> Response<Full<Bytes>> {
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path();
+    match path.strip_prefix("/jobs/") {
+        Some(rest) => job(&parts.method, rest, body, asks).await,
+        None => state(&parts.method, path, asks).await,
+    }
+}
+
+/// Answers `POST /jobs/{pool}`, and `GET` and `DELETE /jobs/{pool}/{job}`.
+async fn job(
+    method: &Method,
+    path: &str,
+    body: Incoming,
+    asks: &flume::Sender<Ask>,
+) -> Response<Full<Bytes>> {
+    let ask = match (method, path.split_once('/')) {
+        (&Method::POST, None) => match read(body).await {
+            Ok(job) => (path, JobAsk::Submit(Box::new(job))),
+            Err(reason) => return answer(StatusCode::BAD_REQUEST, &reason),
+        },
+        (&Method::GET, Some((pool, job))) => (pool, JobAsk::Show(job.into())),
+        (&Method::DELETE, Some((pool, job))) => (pool, JobAsk::Cancel(job.into())),
+        _ => return answer(StatusCode::METHOD_NOT_ALLOWED, ""),
+    };
+    let (reply, replied) = flume::bounded(1);
+    let question = Question {
+        pool: ask.0.into(),
+        ask: ask.1,
+        reply,
+    };
+    let unknown = JobAnswer {
+        state: "unknown".into(),
+        reason: "no answer in time; ask again with the same identifier".into(),
+    };
+    let given = match asks.try_send(Ask::Job(question)) {
+        Ok(()) => compio::time::timeout(JOB_PATIENCE, replied.recv_async()).await,
+        Err(_) => return answer(StatusCode::SERVICE_UNAVAILABLE, ""),
+    };
+    let given = given.ok().and_then(Result::ok).unwrap_or(unknown);
+    let status = match given.state.as_str() {
+        "refused" => StatusCode::CONFLICT,
+        "unknown" => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::OK,
+    };
+    answer(status, &serde_json::to_string(&given).unwrap_or_default())
+}
+
+async fn read(body: Incoming) -> Result<Job, String> {
+    let bytes = Limited::new(body, JOB_BYTES).collect().await;
+    let bytes = bytes.map_err(|error| error.to_string())?.to_bytes();
+    serde_json::from_slice(&bytes).map_err(|error| error.to_string())
 }
 
-async fn respond(method: &Method, path: &str, asks: &flume::Sender<Ask>) -> Response<Full<Bytes>> {
+async fn state(method: &Method, path: &str, asks: &flume::Sender<Ask>) -> Response<Full<Bytes>> {
     if method != Method::GET && method != Method::HEAD {
         return answer(StatusCode::METHOD_NOT_ALLOWED, "");
     }
@@ -105,7 +181,7 @@
 
 async fn ask(asks: &flume::Sender<Ask>) -> Option<Status> {
     let (reply, status) = flume::bounded(1);
-    asks.try_send(reply).ok()?;
+    asks.try_send(Ask::Status(reply)).ok()?;
     let status = compio::time::timeout(PATIENCE, status.recv_async()).await;
     status.ok()?.ok()
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,8 +8,10 @@
 
 pub mod admin;
 pub mod control;
+pub mod controllers;
 pub mod daemon;
 pub mod dispatch;
+pub mod entry;
 pub mod peer;
 pub mod plane;
 pub mod platform;
@@ -24,5 +26,7 @@
 pub use crate::daemon::Daemon;
 pub use crate::daemon::Source;
 pub use crate::dispatch::Control;
+pub use crate::entry::Entry;
+pub use crate::entry::Setup;
 pub use crate::report::Report;
 pub use crate::settings::Settings;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,10 +7,10 @@
 use futures_util::future;
 use gumdrop::Options;
 use slog::info;
-use wigeonhinged::Daemon;
+use wigeonhinged::Entry;
 use wigeonhinged::Report;
 use wigeonhinged::Settings;
-use wigeonhinged::Source;
+use wigeonhinged::Setup;
 
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
@@ -33,11 +33,15 @@
     let arguments = Arguments::parse_args_default_or_exit();
     let settings = Settings::open(&arguments.settings)?;
     let report = Report::open(&settings).wrap_err("cannot open the log and the metrics")?;
-    let daemon = Daemon::start(&settings, Source::Control, report.clone())
-        .wrap_err_with(|| format!("cannot listen on {}", settings.listen))?;
+    let setup = Setup {
+        file: Some(arguments.settings),
+        report: report.clone(),
+        ..Setup::default()
+    };
+    let entry = Entry::spawn(&settings, setup)?;
     wait_for_signal().wrap_err("cannot wait for signals")?;
     info!(report.log(), "listen: signal received, stopping");
-    daemon.stop();
+    entry.stop();
     info!(report.log(), "listen: stopped");
     Ok(())
 }
--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -17,17 +17,23 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use compio::runtime::Runtime;
 use eyre::Result;
 use eyre::WrapErr;
 use eyre::eyre;
+use serde::Deserialize;
+use serde::Serialize;
 use slog::Logger;
 use wigeonhinge::Time;
 use wigeonhinge::id::EntryId;
+use wigeonhinge::id::JobId;
+use wigeonhinge::id::RegionId;
 use wigeonhinge::id::UpstreamId;
 use wigeonhinge::id::VmId;
 use wigeonhinge::lease::Lease;
 use wigeonhinge_schema::fleet::Config;
+use wigeonhinge_schema::jobs::Job;
 use wigeonhinge_schema::peer::Offer;
 use wigeonhinge_schema::settings::Settings;
 
@@ -36,10 +42,13 @@
 use crate::platform::Start;
 use crate::platform::Swap;
 use crate::platform::TaskCommand;
+use crate::platform::TaskReply;
 use crate::platform::Version;
+use crate::platform::VmList;
 use crate::platform::WorkerCommand;
 use crate::platform::Workers;
 
+pub use crate::plane::region::RegionView;
 pub use crate::plane::status::Counters;
 pub use crate::plane::status::Member;
 pub use crate::plane::status::Status;
@@ -48,6 +57,7 @@
 mod core;
 mod duty;
 mod outlet;
+mod region;
 mod spread;
 mod status;
 
@@ -86,6 +96,8 @@
     Offers(Vec<Offer>),
     /// VMs whose upstreams say that they are leaving.
     Announced(BTreeSet<VmId>),
+    /// VMs out of service at which this entry still has requests.
+    Busy(BTreeSet<VmId>),
     /// Ask an entry for slots.
     Borrow(EntryId, UpstreamId, u32),
     /// Lend slots to an entry, under this number.
@@ -105,6 +117,32 @@
     Tick,
     /// An order ended.
     Done(u64, Outcome),
+    /// What the newest known ledgers say of VMs, by region.
+    Regions(Arc<BTreeMap<RegionId, RegionView>>),
+    /// VMs out of service at which live entries still have requests.
+    Busy(BTreeSet<VmId>),
+    /// A submitter asks, under a number that the answer goes back under.
+    Ask(u64, JobAsk),
+}
+
+/// Question of a submitter of jobs.
+#[derive(Clone, Debug, PartialEq)]
+pub enum JobAsk {
+    /// Accept a job.
+    Submit(Box<Job>),
+    /// Cancel a job.
+    Cancel(JobId),
+    /// Tell the state of a job.
+    Show(JobId),
+}
+
+/// Answer to a submitter of jobs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobAnswer {
+    /// `accepted`, `running`, `done`, `failed`, `cancelled`, `refused`, `impossible` or `unknown`.
+    pub state: CompactString,
+    /// Reason, or the worker of a running job.
+    pub reason: CompactString,
 }
 
 /// Order of a controller, with a number that its outcome comes back under.
@@ -124,8 +162,14 @@
     Worker(VmId, WorkerCommand, u64),
     /// Start a task, under the fence of the role.
     Start(VmId, Start),
-    /// Command a task, under the fence of the role, with a lease for a renewal.
-    Task(VmId, String, TaskCommand, u64),
+    /// Command a task, under the fence of the role.
+    Task(VmId, String, TaskCommand),
+    /// Read the list of VMs.
+    Vms,
+    /// Tell every entry what a ledger says of VMs; no call to the platform.
+    Spread(RegionView),
+    /// Answer a question of a submitter; no call to the platform.
+    Answer(u64, JobAnswer),
 }
 
 /// How an order ended.
@@ -143,8 +187,12 @@
     Listed(Vec<platform::Item>),
     /// Reports of workers.
     Workers(Workers),
-    /// Answer of a worker.
+    /// List of VMs.
+    Vms(VmList),
+    /// Answer of a worker to a worker command.
     Reply(Reply),
+    /// Answer of a worker to a start or a task command.
+    Task(TaskReply),
 }
 
 /// A controller of a role: events in, orders out.
--- a/crates/daemon/src/plane/calls.rs
+++ b/crates/daemon/src/plane/calls.rs
@@ -149,11 +149,12 @@
             Order::Delete(key, expect) => Outcome::Swapped(platform.delete(key, *expect).await?),
             Order::List(prefix) => Outcome::Listed(platform.list(prefix).await?),
             Order::Workers(vms) => Outcome::Workers(platform.workers(vms).await?),
-            _ => Outcome::Reply(self.make_command(duty).await?),
+            Order::Vms => Outcome::Vms(platform.vms().await?),
+            _ => self.make_command(duty).await?,
         })
     }
 
-    async fn make_command(&self, duty: &Duty) -> Result<crate::platform::Reply> {
+    async fn make_command(&self, duty: &Duty) -> Result<Outcome> {
         let authority = Authority {
             role: &duty.role,
             fence: duty.lease.fence(),
@@ -161,17 +162,17 @@
         match &duty.order {
             Order::Worker(vm, command, step) => {
                 let call = self.platform.command(vm, *command, authority, *step);
-                call.await
+                Ok(Outcome::Reply(call.await?))
             }
             Order::Start(vm, start) => {
                 let mut start = start.clone();
                 start.role = duty.role.clone();
                 start.fence = authority.fence;
-                self.platform.start(vm, &start).await
+                Ok(Outcome::Task(self.platform.start(vm, &start).await?))
             }
-            Order::Task(vm, id, command, lease_ms) => {
-                let call = self.platform.task(vm, id, *command, authority, *lease_ms);
-                call.await
+            Order::Task(vm, id, command) => {
+                let call = self.platform.task(vm, id, *command, authority);
+                Ok(Outcome::Task(call.await?))
             }
             _ => Err(crate::platform::Error::none("not a command")),
         }
--- a/crates/daemon/src/plane/core.rs
+++ b/crates/daemon/src/plane/core.rs
@@ -46,9 +46,11 @@
 use crate::plane::Input;
 use crate::plane::Message;
 use crate::plane::Options;
+use crate::plane::Order;
 use crate::plane::Request;
 use crate::plane::calls::Caller;
 use crate::plane::calls::Ended;
+use crate::plane::core::jobs::Questions;
 use crate::plane::duty::Duties;
 use crate::plane::duty::Duty;
 use crate::plane::outlet::Outlet;
@@ -60,6 +62,7 @@
 use crate::watch;
 use crate::watch::Watch;
 
+mod jobs;
 mod report;
 mod talk;
 
@@ -101,6 +104,7 @@
     control: Control,
     spread: Spread,
     duties: Duties,
+    questions: Questions,
     told: Told,
     offers: Vec<peer::Offer>,
     blocked: BTreeSet<EntryId>,
@@ -190,6 +194,7 @@
             watch: Watch::default(),
             control: Control::new(own),
             duties: Duties::new(options.controllers),
+            questions: Questions::default(),
             told: Told::default(),
             offers: Vec::new(),
             blocked: BTreeSet::new(),
@@ -209,10 +214,11 @@
             match event {
                 Event::Heard(heard) => self.heard(heard),
                 Event::Ended(ended) => self.ended(ended),
-                Event::Ask(ask) => {
+                Event::Ask(Ask::Status(reply)) => {
                     // The operator has gone if nobody receives the answer.
-                    let _ = ask.try_send(self.status());
+                    let _ = reply.try_send(self.status());
                 }
+                Event::Ask(Ask::Job(question)) => self.question(question),
                 Event::Asked(request) => self.asked(request),
                 Event::Command(Command::Abort) => return,
                 Event::Command(Command::Finish) => return self.finish().await,
@@ -236,6 +242,7 @@
             self.changed(change);
         }
         self.spread.tick(now);
+        self.questions.expire(now);
         self.call(now);
         if self.beat <= now {
             self.send_beat();
@@ -244,7 +251,9 @@
             self.reload = now + RELOAD;
             self.reload();
         }
+        let serving = self.spread.serving(&self.members.live());
         for role in self.duties.roles() {
+            self.drive(&role, Input::Busy(serving.clone()));
             self.drive(&role, Input::Tick);
         }
         self.tell(now);
@@ -355,9 +364,12 @@
                 let Some(lease) = self.control.permit(&role, now) else {
                     return;
                 };
-                let config = self.adopter.current().cloned();
-                let duties = self.duties.gained(&role, config, lease, now);
+                let duties = self.duties.gained(&role, lease, now);
                 self.carry_out(duties);
+                if let Some(config) = self.adopter.current().cloned() {
+                    self.drive(&role, Input::Adopted(config));
+                }
+                self.drive(&role, Input::Regions(self.spread.regions()));
             }
             Notice::Lost(role) => {
                 info!(self.log, "fleet: role lost"; "role" => %role);
@@ -380,8 +392,14 @@
             return;
         };
         for duty in duties {
-            self.counters.orders += 1;
-            self.caller.order(duty, session);
+            match duty.order {
+                Order::Spread(view) => self.learn(vec![view]),
+                Order::Answer(number, answer) => self.answer(number, answer),
+                _ => {
+                    self.counters.orders += 1;
+                    self.caller.order(duty, session);
+                }
+            }
         }
     }
 
--- a/crates/daemon/src/plane/core/talk.rs
+++ b/crates/daemon/src/plane/core/talk.rs
@@ -1,6 +1,7 @@
 //! Messages of peers and of the request path.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +17,9 @@
 
 use crate::peer::Heard;
 use crate::peer::encode;
+use crate::plane::Input;
 use crate::plane::Message;
+use crate::plane::RegionView;
 use crate::plane::Request;
 use crate::plane::core::Core;
 use crate::platform::Document;
@@ -58,6 +61,8 @@
                 let message = Message::Loan(entry, upstream, loan.slots, loan.loan);
                 self.outlet.send(message);
             }
+            Body::JobAsk(ask) => self.job_asked(entry, ask),
+            Body::JobAnswer(answer) => self.job_answered(answer),
             Body::Return(back) => self.outlet.send(Message::Return(entry, back.loan)),
             Body::Bye(_) => {
                 self.members.left(&entry);
@@ -84,9 +89,11 @@
             self.outlet.send(Message::Offers(entry.clone(), offers));
         }
         let revision = beat.revision;
+        let views = RegionView::read(&beat.ledgers);
         if self.spread.heard(beat, now) {
             self.tell(now);
         }
+        self.learn(views);
         let free = self.pulled.is_none_or(|pulled| pulled + PULL <= now);
         if revision > self.adopter.revision() && free {
             self.pulled = Some(now);
@@ -120,6 +127,7 @@
                 self.spread.announce(vms);
                 self.tell(self.now());
             }
+            Request::Busy(vms) => self.spread.busy(vms),
             Request::Borrow(entry, upstream, slots) => {
                 let upstream = upstream.into();
                 let body = Body::Borrow(peer::Borrow { upstream, slots });
@@ -140,7 +148,22 @@
         }
     }
 
-    fn send(&mut self, entry: &EntryId, message: Bytes) {
+    /// Takes over what newer ledgers say and tells the controllers.
+    pub(super) fn learn(&mut self, views: Vec<RegionView>) {
+        let mut changed = false;
+        for view in views {
+            changed |= self.spread.learn(view);
+        }
+        if changed {
+            self.tell(self.now());
+            let regions = self.spread.regions();
+            for role in self.duties.roles() {
+                self.drive(&role, Input::Regions(Arc::clone(&regions)));
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, entry: &EntryId, message: Bytes) {
         if self.blocked.contains(entry) {
             return;
         }
--- a/crates/daemon/src/plane/duty.rs
+++ b/crates/daemon/src/plane/duty.rs
@@ -1,11 +1,9 @@
 //! The controllers of the roles that this entry holds.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use wigeonhinge::Time;
 use wigeonhinge::lease::Lease;
-use wigeonhinge_schema::fleet::Config;
 
 use crate::control::Name;
 use crate::plane::Controller;
@@ -35,22 +33,12 @@
     }
 
     /// Starts the controller of a role that was taken.
-    pub(crate) fn gained(
-        &mut self,
-        role: &Name,
-        config: Option<Arc<Config>>,
-        lease: Lease,
-        now: Time,
-    ) -> Vec<Duty> {
+    pub(crate) fn gained(&mut self, role: &Name, lease: Lease, now: Time) -> Vec<Duty> {
         let Some(controller) = (self.make)(role) else {
             return Vec::new();
         };
         self.active.insert(role.clone(), controller);
-        let mut duties = self.feed(role, Input::Gained(lease), lease, now);
-        if let Some(config) = config {
-            duties.extend(self.feed(role, Input::Adopted(config), lease, now));
-        }
-        duties
+        self.feed(role, Input::Gained(lease), lease, now)
     }
 
     /// Drops the controller of a role that was lost.
--- a/crates/daemon/src/plane/spread.rs
+++ b/crates/daemon/src/plane/spread.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use wigeonhinge::Time;
 use wigeonhinge::id::EntryId;
+use wigeonhinge::id::RegionId;
 use wigeonhinge::id::VmId;
 use wigeonhinge::id::ZoneId;
 use wigeonhinge::role;
@@ -14,6 +16,7 @@
 use wigeonhinge_schema::settings;
 
 use crate::control::Entry;
+use crate::plane::RegionView;
 use crate::platform::VmList;
 use crate::platform::VmState;
 use crate::watch::REACH;
@@ -38,6 +41,8 @@
     lost: BTreeMap<EntryId, Time>,
     list: (u64, BTreeSet<VmId>),
     announced: BTreeSet<VmId>,
+    busy: BTreeSet<VmId>,
+    regions: BTreeMap<RegionId, RegionView>,
 }
 
 /// What the last heartbeat of a peer said.
@@ -48,6 +53,7 @@
     heard: Time,
     store: Option<Duration>,
     announced: BTreeSet<VmId>,
+    busy: BTreeSet<VmId>,
     /// Revision in force on the peer.
     pub(crate) revision: u64,
 }
@@ -63,6 +69,8 @@
             lost: BTreeMap::new(),
             list: (0, BTreeSet::new()),
             announced: BTreeSet::new(),
+            busy: BTreeSet::new(),
+            regions: BTreeMap::new(),
         };
         spread.fix(peers);
         spread
@@ -100,6 +108,7 @@
             heard: now,
             store: age(beat.store_age_ms),
             announced: beat.announced.iter().map(VmId::from).collect(),
+            busy: beat.busy.iter().map(VmId::from).collect(),
             revision: beat.revision,
         };
         let mut changed = !peer.announced.is_empty();
@@ -133,6 +142,20 @@
         self.announced = vms;
     }
 
+    /// Sets the VMs out of service at which this entry still has requests.
+    pub(crate) fn busy(&mut self, vms: BTreeSet<VmId>) {
+        self.busy = vms;
+    }
+
+    /// Returns the VMs out of service at which this entry or a live peer still has requests.
+    pub(crate) fn serving(&self, live: &BTreeSet<EntryId>) -> BTreeSet<VmId> {
+        let told = self.peers.iter().filter(|(entry, _)| live.contains(*entry));
+        told.flat_map(|(_, peer)| &peer.busy)
+            .chain(&self.busy)
+            .cloned()
+            .collect()
+    }
+
     /// Takes note that an entry cannot be reached.
     pub(crate) fn lost(&mut self, entry: EntryId, now: Time) {
         self.lost.insert(entry, now);
@@ -144,12 +167,28 @@
         self.peers.retain(|_, peer| peer.heard + FORGET > now);
     }
 
-    /// Returns the VMs that are leaving, by the list, by this entry or by a live peer.
+    /// Takes over what a ledger says unless a newer one is known; `true` if it is new.
+    pub(crate) fn learn(&mut self, view: RegionView) -> bool {
+        let known = self.regions.get(&view.region);
+        if known.is_some_and(|known| known.version >= view.version) {
+            return false;
+        }
+        self.regions.insert(view.region.clone(), view);
+        true
+    }
+
+    /// Returns what the newest known ledgers say.
+    pub(crate) fn regions(&self) -> Arc<BTreeMap<RegionId, RegionView>> {
+        Arc::new(self.regions.clone())
+    }
+
+    /// Returns the VMs that are leaving: by the list, a ledger, this entry or a live peer.
     pub(crate) fn leaving(&self, live: &BTreeSet<EntryId>) -> BTreeSet<VmId> {
         let told = self.peers.iter().filter(|(entry, _)| live.contains(*entry));
         told.flat_map(|(_, peer)| &peer.announced)
             .chain(&self.announced)
             .chain(&self.list.1)
+            .chain(self.regions.values().flat_map(|view| &view.inactive))
             .cloned()
             .collect()
     }
@@ -158,6 +197,8 @@
     pub(crate) fn fill(&self, beat: &mut Heartbeat) {
         beat.leaving_ms = self.list.0;
         beat.leaving = self.list.1.iter().map(ToString::to_string).collect();
+        beat.busy = self.busy.iter().map(ToString::to_string).collect();
+        beat.ledgers = self.regions.values().map(RegionView::write).collect();
         beat.announced = self.announced.iter().map(ToString::to_string).collect();
     }
 
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -152,8 +152,8 @@
     pub id: CompactString,
     /// State.
     pub state: TaskState,
-    /// Fence of its start.
-    pub fence: Fence,
+    /// Whether it ever ran.
+    pub ran: bool,
     /// Latest usage report, if one exists; lags behind.
     pub usage: Option<Usage>,
 }
@@ -164,18 +164,36 @@
 pub enum TaskState {
     /// Runs.
     Running,
-    /// Runs with less.
-    Throttled,
-    /// Stopped, with a checkpoint.
-    Checkpointed,
-    /// Stopped.
+    /// Stopped by a command, or because its lease ended.
     Stopped,
     /// Ended by itself with success.
     Done,
     /// Ended by itself with a failure, or failed to start.
     Failed,
-    /// Stopped because its lease ended.
-    Expired,
+    /// Not started, and never will be.
+    Refused,
+}
+
+/// Answer of a worker to the start of a task or to a command on it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+pub struct TaskAnswer {
+    /// State after the command.
+    pub state: TaskState,
+    /// Whether it ever ran.
+    pub ran: bool,
+    /// Boot number of the worker.
+    pub boot: u64,
+}
+
+/// Whether a worker carried out the start of a task or a command on it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TaskReply {
+    /// The worker answered.
+    Answer(TaskAnswer),
+    /// The worker or the task is not known; the call had no effect.
+    Absent,
+    /// The worker has seen this higher fence of the role; the call had no effect.
+    Fenced(Fence),
 }
 
 /// Usage of a task.
@@ -198,6 +216,8 @@
     pub role: CompactString,
     /// Fence of that role.
     pub fence: Fence,
+    /// Boot number that the start is meant for; the worker refuses it in any other.
+    pub boot: u64,
     /// Milliseconds that the task may run without being renewed.
     pub lease_ms: u64,
     /// Thousandths of a core.
@@ -206,6 +226,8 @@
     pub memory_mb: u64,
     /// Accelerators.
     pub accelerators: u32,
+    /// Whether to continue from the checkpoint of an earlier task of the job.
+    pub resume: bool,
 }
 
 /// Role in whose name a command is given, and its fence.
@@ -224,12 +246,18 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TaskCommand {
     /// Extend its lease.
-    Renew,
-    /// Stop it with a checkpoint.
+    Renew {
+        /// Milliseconds from now.
+        lease_ms: u64,
+    },
+    /// Save its progress; it goes on running.
     Checkpoint,
-    /// Let it run with less.
-    Throttle,
-    /// Stop it.
+    /// Limit its processors.
+    Throttle {
+        /// Percentage of what it may use; 100 ends the limit.
+        percent: u32,
+    },
+    /// Stop it, and refuse to start it from now on.
     Stop,
 }
 
@@ -307,17 +335,16 @@
     fn workers(&self, vms: &[CompactString]) -> impl Future<Output = Result<Workers>>;
 
     /// Starts a task.
-    fn start(&self, vm: &str, start: &Start) -> impl Future<Output = Result<Reply>>;
+    fn start(&self, vm: &str, start: &Start) -> impl Future<Output = Result<TaskReply>>;
 
-    /// Sends a command to a task; `lease_ms` counts for [`TaskCommand::Renew`] only.
+    /// Sends a command to a task.
     fn task(
         &self,
         vm: &str,
         id: &str,
         command: TaskCommand,
         authority: Authority<'_>,
-        lease_ms: u64,
-    ) -> impl Future<Output = Result<Reply>>;
+    ) -> impl Future<Output = Result<TaskReply>>;
 
     /// Sends a command to a worker; a `step` below the highest it has seen is refused.
     fn command(
@@ -366,9 +393,9 @@
 impl TaskCommand {
     fn path(self) -> &'static str {
         match self {
-            Self::Renew => "renew",
+            Self::Renew { .. } => "renew",
             Self::Checkpoint => "checkpoint",
-            Self::Throttle => "throttle",
+            Self::Throttle { .. } => "throttle",
             Self::Stop => "stop",
         }
     }
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -23,6 +23,7 @@
 use crate::platform::Start;
 use crate::platform::Swap;
 use crate::platform::TaskCommand;
+use crate::platform::TaskReply;
 use crate::platform::Version;
 use crate::platform::VmList;
 use crate::platform::WorkerCommand;
@@ -116,6 +117,16 @@
         Ok(Answer { status, body })
     }
 
+    async fn task_order(&self, path: &str, body: Vec<u8>) -> Result<TaskReply> {
+        let answer = self.call(Method::POST, path, body).await?;
+        match answer.status {
+            StatusCode::OK => Ok(TaskReply::Answer(parse(&answer.body)?)),
+            StatusCode::NOT_FOUND => Ok(TaskReply::Absent),
+            StatusCode::CONFLICT => Ok(TaskReply::Fenced(parse::<Fenced>(&answer.body)?.fence)),
+            _ => Err(answer.unexpected()),
+        }
+    }
+
     async fn order(&self, path: &str, body: Vec<u8>) -> Result<Reply> {
         let answer = self.call(Method::POST, path, body).await?;
         match answer.status {
@@ -216,9 +227,10 @@
         answer.read()
     }
 
-    async fn start(&self, vm: &str, start: &Start) -> Result<Reply> {
+    async fn start(&self, vm: &str, start: &Start) -> Result<TaskReply> {
         let body = serde_json::to_vec(start).map_err(Error::none)?;
-        self.order(&format!("/v1/workers/{vm}/tasks"), body).await
+        let path = format!("/v1/workers/{vm}/tasks");
+        self.task_order(&path, body).await
     }
 
     async fn task(
@@ -227,15 +239,19 @@
         id: &str,
         command: TaskCommand,
         authority: Authority<'_>,
-        lease_ms: u64,
-    ) -> Result<Reply> {
+    ) -> Result<TaskReply> {
         let path = format!("/v1/workers/{vm}/tasks/{id}/{}", command.path());
         let Authority { role, fence } = authority;
         let body = match command {
-            TaskCommand::Renew => json!({ "role": role, "fence": fence, "lease_ms": lease_ms }),
-            _ => json!({ "role": role, "fence": fence }),
+            TaskCommand::Renew { lease_ms } => {
+                json!({ "role": role, "fence": fence, "lease_ms": lease_ms })
+            }
+            TaskCommand::Throttle { percent } => {
+                json!({ "role": role, "fence": fence, "percent": percent })
+            }
+            TaskCommand::Checkpoint | TaskCommand::Stop => json!({ "role": role, "fence": fence }),
         };
-        self.order(&path, body.to_string().into_bytes()).await
+        self.task_order(&path, body.to_string().into_bytes()).await
     }
 
     async fn command(
--- a/crates/wigeonhinge/src/lease.rs
+++ b/crates/wigeonhinge/src/lease.rs
@@ -60,6 +60,11 @@
         now < self.deadline
     }
 
+    /// Returns when the lease ends at the latest, less the margin.
+    pub fn deadline(&self) -> Time {
+        self.deadline
+    }
+
     /// Returns the fencing number that goes with every action.
     pub fn fence(&self) -> Fence {
         self.fence
