--- /dev/null
+++ b/crates/daemon/tests/stop.rs
@@ -0,0 +1,151 @@
+//! Graceful and abrupt stops.
+
+#[path = "support/site.rs"]
+mod site;
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use wigeonhinge_standin::caller;
+use wigeonhinge_standin::caller::Balancer;
+use wigeonhinge_standin::caller::Verdict;
+use wigeonhinge_standin::upstream::Behaviour;
+use wigeonhinge_standin::upstream::Upstream;
+use wigeonhinged::Daemon;
+
+use crate::site::SERVICE;
+use crate::site::Site;
+
+/// Time between two health checks of the balancer.
+const HEALTH: Duration = Duration::from_millis(100);
+
+/// Stops an entry as a balancer sees it: not ready first, then out of the list.
+fn stop(daemon: Daemon, balancer: &Balancer) {
+    let address = daemon.address();
+    let phase = daemon.phase();
+    thread::scope(|scope| {
+        scope.spawn(move || {
+            while !phase.draining() {
+                thread::sleep(Duration::from_millis(5));
+            }
+            thread::sleep(HEALTH);
+            balancer.remove(address);
+        });
+        daemon.stop();
+    });
+}
+
+/// Guards against requests that a rolling replacement cuts off.
+#[test]
+fn stop_rolling_replacement() {
+    let upstreams: Vec<Upstream> = (0..4).map(|_| Upstream::spawn().unwrap()).collect();
+    for upstream in &upstreams {
+        upstream.behave(Behaviour {
+            delay: Duration::from_millis(20),
+            ..Behaviour::default()
+        });
+    }
+    let spawn = || site::spawn(&upstreams, |raw| raw.drain_secs = 1);
+    let mut entries: Vec<Daemon> = (0..3).map(|_| spawn()).collect();
+    let balancer = Balancer::new(entries.iter().map(Daemon::address));
+    let records = thread::scope(|scope| {
+        let load = scope.spawn(|| {
+            let time = Duration::from_secs(5);
+            caller::run(&balancer, &[site::stream(300.0)], time, 31).unwrap()
+        });
+        thread::sleep(Duration::from_millis(300));
+        for _ in 0..3 {
+            let next = spawn();
+            balancer.add(next.address());
+            entries.push(next);
+            stop(entries.remove(0), &balancer);
+        }
+        load.join().unwrap()
+    });
+    let ledgers: Vec<_> = upstreams.iter().map(Upstream::ledger).collect();
+    let expected = Verdict {
+        requests: records.len(),
+        answered: records.len(),
+        ..Verdict::default()
+    };
+    assert_eq!(caller::compare(&records, &ledgers), expected);
+}
+
+/// Guards against a stop that does not wait for a request in progress.
+#[test]
+fn stop_finishes_requests() {
+    let site = Site::open(1);
+    site.behave(Behaviour {
+        delay: Duration::from_secs(1),
+        ..Behaviour::default()
+    });
+    let address = site.daemon.address();
+    let slow =
+        thread::spawn(move || caller::send(address, &site::request(""), site::PATIENCE).unwrap());
+    thread::sleep(Duration::from_millis(300));
+    let start = Instant::now();
+    site.daemon.stop();
+    assert!(start.elapsed() > Duration::from_millis(500));
+    let answer = slow.join().unwrap();
+    assert_eq!(answer.status, 200);
+}
+
+/// Guards against a stop that waits for idle connections or for slow senders.
+#[test]
+fn stop_closes_idle_connections() {
+    let site = Site::open(1);
+    assert_eq!(site.post(SERVICE, "").status, 200);
+    let _idle = std::net::TcpStream::connect(site.daemon.address()).unwrap();
+    thread::sleep(Duration::from_millis(100));
+    let start = Instant::now();
+    site.daemon.stop();
+    assert!(start.elapsed() < Duration::from_secs(2));
+}
+
+/// Guards against an abrupt stop that waits for requests.
+#[test]
+fn stop_kill() {
+    let site = Site::open(1);
+    site.behave(Behaviour {
+        delay: Duration::from_secs(3),
+        ..Behaviour::default()
+    });
+    let address = site.daemon.address();
+    let slow = thread::spawn(move || caller::send(address, &site::request(""), site::PATIENCE));
+    thread::sleep(Duration::from_millis(200));
+    let start = Instant::now();
+    site.daemon.kill();
+    assert!(start.elapsed() < Duration::from_secs(1));
+    assert!(slow.join().unwrap().is_err());
+}
+
+/// Guards against a signal that ends the process with an error.
+#[test]
+fn stop_on_signal() {
+    for signal in ["TERM", "INT"] {
+        let mut child = start(signal, &["--settings"]);
+        thread::sleep(Duration::from_millis(500));
+        let id = child.id().to_string();
+        let sent = Command::new("kill").args(["-s", signal, &id]).status();
+        assert!(sent.unwrap().success());
+        assert!(child.wait().unwrap().success());
+    }
+}
+
+fn start(name: &str, arguments: &[&str]) -> Child {
+    let text = r#"{"entry": "e1", "zone": "z", "listen": "127.0.0.1:0"} // one entry"#;
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.jsonc"));
+    fs::write(&path, text).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_wigeonhinged"))
+        .args(arguments)
+        .arg(path)
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap()
+}
--- a/crates/daemon/tests/support/site.rs
+++ b/crates/daemon/tests/support/site.rs
@@ -81,13 +81,30 @@
     }
 }
 
-pub fn spawn(upstreams: &[Upstream], change: impl FnOnce(&mut settings::Settings)) -> Daemon {
-    let mut raw = settings::Settings {
+/// Encodes a request with extra header lines, each ended by CRLF.
+pub fn request(headers: &str) -> Vec<u8> {
+    let start = format!("POST /{SERVICE}/x HTTP/1.1\r\nhost: e\r\ncontent-length: 2\r\n");
+    format!("{start}{headers}\r\nhi").into_bytes()
+}
+
+/// Encodes a request that the upstreams' ledgers know by a key.
+pub fn keyed(key: &str, idempotent: bool) -> Vec<u8> {
+    request(&format!(
+        "standin-key: {key}\r\nwigeonhinge-idempotent: {idempotent}\r\n"
+    ))
+}
+
+pub fn settings() -> settings::Settings {
+    settings::Settings {
         entry: "entry-1".into(),
         zone: fleet::ZONE.into(),
         listen: "127.0.0.1:0".into(),
         ..settings::Settings::default()
-    };
+    }
+}
+
+pub fn spawn(upstreams: &[Upstream], change: impl FnOnce(&mut settings::Settings)) -> Daemon {
+    let mut raw = settings();
     change(&mut raw);
     let settings = Settings::check(raw).unwrap();
     Daemon::spawn(&settings, Source::Fixed(Box::new(fleet_of(upstreams)))).unwrap()
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -30,6 +30,9 @@
 /// Header that names a request from end to end; the ledger is kept by it.
 pub const KEY: &str = "standin-key";
 
+/// Time after which a request counts as shorter than the place where it is cut.
+const SHORT: Duration = Duration::from_millis(100);
+
 /// How an upstream behaves from now on.
 #[derive(Clone, Debug, Default)]
 pub struct Behaviour {
@@ -78,6 +81,10 @@
     pub probes: usize,
     /// Connections accepted.
     pub connections: usize,
+    /// Bytes of the last answer.
+    pub answer_bytes: usize,
+    /// Bytes of the last request.
+    pub request_bytes: usize,
     /// When the last request arrived.
     pub last: Option<Instant>,
     busy: usize,
@@ -203,7 +210,7 @@
     loop {
         let fault = lock(state).behaviour.fault;
         if let Fault::CutRequest(count) = fault {
-            wire.fill(count).await?;
+            let _ = compio::time::timeout(SHORT, wire.fill(count)).await;
             return Ok(());
         }
         let Some(request) = wire.read(false).await? else {
@@ -236,6 +243,7 @@
     let key = request.header(KEY).unwrap_or(id).to_owned();
     let behaviour = lock(state).behaviour.clone();
     lock(state).ledger.last = Some(Instant::now());
+    lock(state).ledger.request_bytes = request.bytes;
     let leaving = ("wigeonhinge-leaving", flag(behaviour.leaving));
     let named = ("wigeonhinge-request-id", id);
     if behaviour.fault == Fault::Refuse {
@@ -258,6 +266,7 @@
     let body = body.to_string().into_bytes();
     let before = lock(state).before.replace((id.to_owned(), body.clone()));
     let right = answer(200, &[named, leaving], &body);
+    lock(state).ledger.answer_bytes = right.len();
     match behaviour.fault {
         Fault::None | Fault::Refuse | Fault::CutRequest(_) => (right, true),
         Fault::Crossed => {
--- a/crates/standin/src/wire.rs
+++ b/crates/standin/src/wire.rs
@@ -26,6 +26,8 @@
     /// Names in lower case, and values.
     pub(crate) headers: Vec<(String, String)>,
     pub(crate) body: Vec<u8>,
+    /// Bytes of the whole message.
+    pub(crate) bytes: usize,
 }
 
 impl Message {
@@ -84,6 +86,7 @@
         if self.fill(head + length).await? < head + length {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
+        message.bytes = head + length;
         message.body = self.ahead[head..head + length].to_vec();
         self.ahead.drain(..head + length);
         Ok(Some(message))
@@ -115,10 +118,9 @@
         .filter_map(|line| line.split_once(':'))
         .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
         .collect();
-    let body = Vec::new();
     Ok(Message {
         start,
         headers,
-        body,
+        ..Message::default()
     })
 }
