--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -57,6 +57,9 @@
 /// Time after which a connection that this entry made and does not use ends.
 const UNUSED: Duration = Duration::from_secs(5);
 
+/// Bytes of the headers of UDP and IPv4 in a datagram.
+const HEADERS: u64 = 28;
+
 /// Error code of a connection that is closed on purpose.
 const CLOSED: VarInt = VarInt::from_u32(0);
 
@@ -69,7 +72,7 @@
     Lost(EntryId),
 }
 
-/// Bytes in datagrams of all connections, without the headers of UDP and IP.
+/// Bytes of all connections, with the headers of UDP and IPv4.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Traffic {
     pub(crate) sent: u64,
@@ -233,8 +236,8 @@
 impl Traffic {
     fn add(&mut self, connection: &Connection) {
         let stats = connection.stats();
-        self.sent += stats.udp_tx.bytes;
-        self.received += stats.udp_rx.bytes;
+        self.sent += stats.udp_tx.bytes + HEADERS * stats.udp_tx.datagrams;
+        self.received += stats.udp_rx.bytes + HEADERS * stats.udp_rx.datagrams;
     }
 }
 
--- a/crates/daemon/src/plane/core/report.rs
+++ b/crates/daemon/src/plane/core/report.rs
@@ -65,11 +65,14 @@
 
     fn counters(&self) -> Counters {
         let traffic = self.peers.traffic();
+        let volume = self.caller.platform.volume();
         Counters {
             uptime_ms: self.now().as_millis() as u64,
             cpu_us: status::cpu_us(),
             peer_sent: traffic.sent,
             peer_received: traffic.received,
+            platform_sent: volume.sent,
+            platform_received: volume.received,
             ..self.counters.clone()
         }
     }
--- a/crates/daemon/src/plane/status.rs
+++ b/crates/daemon/src/plane/status.rs
@@ -60,10 +60,14 @@
     pub uptime_ms: u64,
     /// Microseconds of processor time of the control thread.
     pub cpu_us: u64,
-    /// Bytes sent to peers, without the headers of UDP and IP.
+    /// Bytes sent to peers, with the headers of UDP and IPv4.
     pub peer_sent: u64,
-    /// Bytes received from peers, without the headers of UDP and IP.
+    /// Bytes received from peers, with the headers of UDP and IPv4.
     pub peer_received: u64,
+    /// Bytes sent to the platform, without the headers of TCP and IP.
+    pub platform_sent: u64,
+    /// Bytes received from the platform, without the headers of TCP and IP.
+    pub platform_received: u64,
     /// Configurations that were adopted.
     pub adopted: u64,
     /// Configurations with the revision in force and another edit.
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -16,6 +16,7 @@
 
 pub use crate::platform::http::CALL_TIMEOUT;
 pub use crate::platform::http::HttpPlatform;
+pub use crate::platform::http::Volume;
 
 mod http;
 
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -1,5 +1,7 @@
 //! The platform over HTTP/1.1.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -37,6 +39,12 @@
 /// Bytes of an answer that are read.
 const ANSWER_BYTES: u64 = 16 << 20;
 
+/// Bytes of the fields that every request has, without the address.
+const REQUEST_HEAD: usize = 110;
+
+/// Bytes of the status line and the empty line of an answer.
+const STATUS_LINE: usize = 19;
+
 /// Header that names the entry that calls.
 const CALLER: &str = "wigeonhinge-entry";
 
@@ -50,6 +58,18 @@
     caller: String,
     client: Client,
     timeout: Duration,
+    volume: Rc<Cell<Volume>>,
+}
+
+/// Bytes of requests and answers, with their heads and without the headers of TCP and IP.
+///
+/// The heads are computed from their fields.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Volume {
+    /// Bytes sent.
+    pub sent: u64,
+    /// Bytes received.
+    pub received: u64,
 }
 
 impl HttpPlatform {
@@ -65,9 +85,15 @@
             caller: caller.to_owned(),
             client,
             timeout: CALL_TIMEOUT,
+            volume: Rc::default(),
         })
     }
 
+    /// Returns the bytes so far, of this value and its clones.
+    pub fn volume(&self) -> Volume {
+        self.volume.get()
+    }
+
     /// Replaces the time for one call.
     pub fn with_timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
@@ -94,10 +120,12 @@
 
     async fn exchange(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Answer> {
         let url = format!("{}{path}", self.base);
+        let url_bytes = url.len();
         let mut request = self.client.request(method, url).map_err(Error::none)?;
         request = request
             .header(CALLER, self.caller.as_str())
             .map_err(Error::none)?;
+        self.count(url_bytes + body.len() + REQUEST_HEAD, 0);
         if !body.is_empty() {
             request = request
                 .header("content-type", "application/json")
@@ -109,13 +137,30 @@
             return Err(Error::unknown("the answer is too large"));
         }
         let status = response.status();
+        let head: usize = response
+            .headers()
+            .iter()
+            .map(|(name, value)| name.as_str().len() + value.len() + 4)
+            .sum();
         let body = response.bytes().await.map_err(Error::unknown)?;
+        self.count(0, STATUS_LINE + head + body.len());
         if status.is_server_error() {
             return Err(Error::unknown(format!("status {status}")));
         }
         Ok(Answer { status, body })
     }
 
+    fn count(&self, sent: usize, received: usize) {
+        let Volume {
+            sent: before,
+            received: until,
+        } = self.volume.get();
+        self.volume.set(Volume {
+            sent: before + sent as u64,
+            received: until + received as u64,
+        });
+    }
+
     async fn order(&self, path: &str, body: Vec<u8>) -> Result<Reply> {
         let answer = self.call(Method::POST, path, body).await?;
         match answer.status {
