Answer a final state only once the store holds it

A cancelled job was answered as such before the cancellation was durable, and ran after a takeover. A start that failed because its worker had restarted counted as a failure of the job. A cancelled job whose start failed waited again.

--- a/crates/cli/src/measure/world/worker.rs
+++ b/crates/cli/src/measure/world/worker.rs
@@ -79,7 +79,7 @@
         self.fence = self.fence.max(fence);
         match command {
             Command::Start { incarnation, .. } if incarnation != self.incarnation => {
-                return Reply::StartFailed("the worker restarted".into());
+                return Reply::Restarted;
             }
             Command::Start { size, resume, .. } => {
                 let saved = if resume { saved } else { Time::ZERO };
@@ -211,6 +211,12 @@
         }
     }
 
+    /// Whether it runs a job.
+    pub fn runs(&self, job: &str) -> bool {
+        let mut tasks = self.tasks.iter();
+        tasks.any(|(task, running)| task.job == job && running.live())
+    }
+
     /// Thousandths of a core in use.
     pub fn busy(&self) -> u64 {
         let live = self.tasks.values().filter(|running| running.live());
--- a/crates/wigeonhinge/src/scheduler/api.rs
+++ b/crates/wigeonhinge/src/scheduler/api.rs
@@ -197,8 +197,8 @@
         resume: bool,
         /// The worker stops the task when no renewal arrives for this long.
         ttl: Time,
-        /// Incarnation that the start is meant for; the worker fails the start
-        /// in any other, as a restart made it forget which starts to refuse.
+        /// Incarnation that the start is meant for; the worker answers
+        /// [`Reply::Restarted`] in any other, as a restart made it forget which starts to refuse.
         incarnation: u64,
     },
     /// Extend the lease of the task by its time to live.
@@ -220,6 +220,9 @@
 pub enum Reply {
     /// The command took effect, or had before; the task runs.
     Running,
+    /// The worker restarted since the incarnation that the start names; nothing
+    /// ran, and the start tells nothing about worker or job.
+    Restarted,
     /// The start failed before anything ran.
     StartFailed(CompactString),
     /// The task has ended well.
--- a/crates/wigeonhinge/src/scheduler/submit.rs
+++ b/crates/wigeonhinge/src/scheduler/submit.rs
@@ -80,7 +80,7 @@
     }
 
     pub(super) fn ask(&mut self, ticket: Ticket, id: &JobId, now: Time) {
-        if self.fresh.contains(id) {
+        if self.fresh.contains(id) || self.unsettled(id) {
             return self.wait(ticket, id, false, now);
         }
         let answer = match self.jobs.get(id) {
@@ -176,6 +176,15 @@
         lists.entry(id.clone()).or_default().push(waiting);
     }
 
+    /// Whether a job ended in a state that the store does not have yet, so that
+    /// another holder of the role would take it for open. A worker's word that a
+    /// job is done holds without the store.
+    fn unsettled(&self, id: &JobId) -> bool {
+        let state = self.jobs.get(id).map(Job::state);
+        let ended = state.is_some_and(|state| ended(state) && state != State::Done);
+        ended && (self.dirty.contains(id) || self.in_flight(id))
+    }
+
     fn unfit(&self, job: &Job, now: Time) -> Option<Answer> {
         let refused = |reason: &str| Some(Answer::Refused(reason.into()));
         if !self.ready(now) {
--- a/crates/wigeonhinge/src/scheduler/tasks.rs
+++ b/crates/wigeonhinge/src/scheduler/tasks.rs
@@ -301,7 +301,11 @@
         if !known.is_some_and(|live| live.worker == *worker && live.attempt == task.attempt) {
             return;
         }
+        if incarnation > self.incarnations.get(worker).copied().unwrap_or(0) {
+            self.incarnations.insert(worker.clone(), incarnation);
+        }
         match reply {
+            Reply::Restarted => self.requeue(id, false, now),
             Reply::Running => self.runs(id, Some(command), now),
             Reply::StartFailed(reason) if matches!(command, Command::Start { .. }) => {
                 self.failed(id, false, &reason, now);
@@ -407,9 +411,6 @@
             return;
         };
         let asked = live.asked();
-        if live.step == Step::Stopping(Why::Cancel) {
-            return self.finish(id, State::Cancelled, reason, now);
-        }
         if job.idempotent || !asked {
             return self.requeue(id, asked, now);
         }
@@ -442,6 +443,10 @@
     }
 
     fn requeue(&mut self, id: &JobId, ran: bool, now: Time) {
+        let step = self.live.get(id).map(|live| live.step);
+        if step == Some(Step::Stopping(Why::Cancel)) {
+            return self.finish(id, State::Cancelled, "", now);
+        }
         self.free(id, now);
         let requeue = JobEvent::Requeue {
             job: id.clone(),
--- a/crates/wigeonhinge/tests/explore.rs
+++ b/crates/wigeonhinge/tests/explore.rs
@@ -328,7 +328,7 @@
         match (command, running) {
             (Command::Start { incarnation, .. }, None) => {
                 if incarnation != worker.incarnation && !removed.incarnations {
-                    return Reply::StartFailed("restarted".into());
+                    return Reply::Restarted;
                 }
                 if worker.refused.contains(task) && !removed.refusals {
                     return Reply::Stopped { ran: false };
