Reserve what a failed run was seen to use

A job with a far too small declaration failed on three workers for lack of memory and was marked as failed, because each retry only doubled the reservation.

--- a/crates/wigeonhinge/src/scheduler.rs
+++ b/crates/wigeonhinge/src/scheduler.rs
@@ -86,8 +86,7 @@
     live: BTreeMap<JobId, Live>,
     timers: BTreeSet<(Time, JobId)>,
     waiters: BTreeMap<pass::Key, Waiter>,
-    /// Failed attempts of open jobs.
-    failures: BTreeMap<JobId, u32>,
+    failures: BTreeMap<JobId, tasks::Failures>,
     placer: Placer,
     quotas: Quotas,
     usage: Usage,
--- a/crates/wigeonhinge/src/scheduler/pass.rs
+++ b/crates/wigeonhinge/src/scheduler/pass.rs
@@ -261,13 +261,14 @@
         }
     }
 
-    /// Size to reserve for a job: learned where possible, doubled in memory
-    /// with each failed attempt, and no more than a worker has.
+    /// Size to reserve for a job: learned where possible, with more memory
+    /// after a failed attempt, and no more than a worker has.
     fn sized(&self, job: &Job) -> Cap {
         let declared = job.size.unwrap_or_default();
         let mut size = Cap::from(self.usage.estimate(&job.class, declared));
-        let failures = self.failures.get(job.id.as_str()).copied().unwrap_or(0);
-        size.mem = size.mem.saturating_mul(1 << failures.min(3));
+        if let Some(failures) = self.failures.get(job.id.as_str()) {
+            size.mem = failures.memory(size.mem);
+        }
         if self.placer.lacks(size, &job.zone).is_none() {
             return size;
         }
--- a/crates/wigeonhinge/src/scheduler/tasks.rs
+++ b/crates/wigeonhinge/src/scheduler/tasks.rs
@@ -20,6 +20,7 @@
 use crate::scheduler::TASK_TTL;
 use crate::scheduler::Task;
 
+pub(super) use crate::scheduler::tasks::health::Failures;
 pub(super) use crate::scheduler::tasks::health::Suspect;
 
 /// Time that a checkpoint of preempted work may take.
@@ -47,6 +48,9 @@
     blockers: BTreeSet<JobId>,
     /// Job that this one makes room for.
     helps: Option<JobId>,
+    /// Size that the worker was asked to reserve.
+    asked: Cap,
+    /// Size that is held: the one asked for, or what was seen in use.
     size: Cap,
     peak: Size,
     resume: bool,
@@ -98,6 +102,7 @@
             step: Step::Writing,
             blockers,
             helps: None,
+            asked: size,
             size,
             peak: Size::default(),
             resume,
@@ -108,7 +113,7 @@
         }
     }
 
-    fn asked(&self) -> bool {
+    fn was_asked(&self) -> bool {
         !matches!(self.step, Step::Writing | Step::Ready)
     }
 }
@@ -270,7 +275,7 @@
         let Some(live) = self.live.get_mut(id) else {
             return;
         };
-        if !live.asked() {
+        if !live.was_asked() {
             return match why {
                 Why::Cancel => self.finish(id, State::Cancelled, "", now),
                 Why::Doubt | Why::Room => self.requeue(id, false, now),
@@ -410,7 +415,7 @@
         let (Some(job), Some(live)) = (self.jobs.get(id), self.live.get(id)) else {
             return;
         };
-        let asked = live.asked();
+        let asked = live.was_asked();
         if job.idempotent || !asked {
             return self.requeue(id, asked, now);
         }
--- a/crates/wigeonhinge/src/scheduler/tasks/health.rs
+++ b/crates/wigeonhinge/src/scheduler/tasks/health.rs
@@ -1,6 +1,7 @@
 //! Failed tasks, and workers that are held back because of them.
 
 use wigeonhinge_schema::audit;
+use wigeonhinge_schema::jobs::Size;
 use wigeonhinge_schema::jobs::State;
 
 use crate::id::JobId;
@@ -28,6 +29,30 @@
     out: bool,
 }
 
+/// Failed attempts of an open job.
+#[derive(Clone, Copy, Debug, Default)]
+pub(in crate::scheduler) struct Failures {
+    count: u32,
+    runs: u32,
+    peak: u64,
+}
+
+impl Failures {
+    /// Memory to reserve for the next attempt: twice as much after each failed
+    /// run, which may have lacked memory, and at least what was seen in use.
+    pub(in crate::scheduler) fn memory(&self, mem: i32) -> i32 {
+        let doubled = mem.saturating_mul(1 << self.runs.min(3));
+        let seen = self.peak.saturating_add(self.peak / 8);
+        doubled.max(i32::try_from(seen).unwrap_or(i32::MAX))
+    }
+
+    fn note(&mut self, ran: bool, peak: Size) {
+        self.count += 1;
+        self.runs += u32::from(ran);
+        self.peak = self.peak.max(peak.memory_mb);
+    }
+}
+
 impl Scheduler {
     /// Takes a failed attempt. One that never ran may be repeated in any case;
     /// one that ran only when the job is idempotent.
@@ -36,9 +61,14 @@
             return;
         };
         let (idempotent, worker) = (job.idempotent, live.worker.clone());
+        // A run that needed more than was reserved tells nothing about the worker.
+        let outgrown = ran && Size::from(live.asked).memory_mb < live.peak.memory_mb;
+        let peak = live.peak;
         let again = idempotent || !ran;
         // A run that cannot be repeated elsewhere does not tell who is at fault.
-        let verdict = if again {
+        let verdict = if outgrown && again {
+            Verdict::Again
+        } else if again {
             self.health.failed(&worker, id)
         } else {
             Verdict::BadJob
@@ -47,8 +77,8 @@
             self.suspect(&worker, now);
         }
         let failures = self.failures.entry(id.clone()).or_default();
-        *failures += 1;
-        let worn = *failures >= MAX_FAILURES;
+        failures.note(ran, peak);
+        let worn = failures.count >= MAX_FAILURES;
         if verdict == Verdict::BadJob || worn {
             return self.finish(id, State::Failed, reason, now);
         }
--- a/crates/wigeonhinge/src/scheduler/tasks/report.rs
+++ b/crates/wigeonhinge/src/scheduler/tasks/report.rs
@@ -74,7 +74,7 @@
         let movable = self.jobs.get(id).is_some_and(|job| job.idempotent);
         if place::lost(phase) {
             self.lose_task(id, "its worker was lost", now);
-        } else if !live.asked() {
+        } else if !live.was_asked() {
             self.stop(id, Why::Room, now);
         } else if phase == Phase::Draining && movable && live.step == Step::Running {
             self.save(id, now);
@@ -93,7 +93,7 @@
                 attempt: live.attempt,
             };
             let older = job.incarnation < report.incarnation;
-            if older && live.asked() && !listed.contains(&task) {
+            if older && live.was_asked() && !listed.contains(&task) {
                 self.lose_task(&id, "its worker restarted", now);
             }
         }
@@ -103,7 +103,7 @@
         let id = report.task.job.clone();
         let live = self.live.get(&id);
         let own = live.is_some_and(|live| {
-            live.worker == *worker && live.attempt == report.task.attempt && live.asked()
+            live.worker == *worker && live.attempt == report.task.attempt && live.was_asked()
         });
         if !own {
             return self.stray(worker, report, now);
