Count what teams hold in other pools against their quotas

Dividing 300 quotas over 20 pools by capacity left a team about two cores a pool, so that its urgent work could not preempt. A team's whole quota now counts in each pool, less what it holds elsewhere, which the embedder passes in.

--- a/crates/wigeonhinge/src/place/cap.rs
+++ b/crates/wigeonhinge/src/place/cap.rs
@@ -61,15 +61,6 @@
             acc: self.acc.min(other.acc),
         }
     }
-
-    /// Returns the share `part / whole`, rounded up.
-    pub fn share(self, part: Self, whole: Self) -> Self {
-        Self {
-            cpu: share(self.cpu, part.cpu, whole.cpu),
-            mem: share(self.mem, part.mem, whole.mem),
-            acc: share(self.acc, part.acc, whole.acc),
-        }
-    }
 }
 
 impl From<Size> for Cap {
@@ -91,12 +82,3 @@
         }
     }
 }
-
-fn share(value: i32, part: i32, whole: i32) -> i32 {
-    if whole <= 0 {
-        return 0;
-    }
-    let product = i64::from(value) * i64::from(part);
-    let whole = i64::from(whole);
-    i32::try_from((product + whole - 1) / whole).unwrap_or(i32::MAX)
-}
--- a/crates/wigeonhinge/src/quota.rs
+++ b/crates/wigeonhinge/src/quota.rs
@@ -29,6 +29,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Quotas {
     limits: BTreeMap<TeamId, Cap>,
+    elsewhere: BTreeMap<TeamId, Cap>,
     teams: BTreeMap<TeamId, Team>,
 }
 
@@ -56,11 +57,24 @@
     /// Sets the quota of every team. Without any, all teams own what they use.
     pub fn set(&mut self, limits: BTreeMap<TeamId, Cap>) -> Vec<Mark> {
         self.limits = limits;
-        let mut marks = Vec::new();
-        for (name, team) in &mut self.teams {
-            marks.extend(team.mark(limit(&self.limits, name)));
-        }
-        marks
+        self.mark()
+    }
+
+    /// Sets what teams hold in other pools, which counts against their quotas.
+    pub fn elsewhere(&mut self, held: BTreeMap<TeamId, Cap>) -> Vec<Mark> {
+        self.elsewhere = held;
+        self.mark()
+    }
+
+    /// Returns what each team holds.
+    pub fn held(&self) -> BTreeMap<TeamId, Cap> {
+        let teams = self.teams.iter();
+        teams
+            .map(|(name, team)| {
+                let sizes = team.tasks.values().map(|held| held.size);
+                (name.clone(), sizes.fold(Cap::default(), Cap::plus))
+            })
+            .collect()
     }
 
     /// Whether a team is known; each is while no quotas are set.
@@ -71,7 +85,7 @@
     /// Whether work fits the quota of its team beside the team's work that
     /// comes before it.
     pub fn admit(&self, team: &str, age: Age, size: Cap) -> bool {
-        let Some(mut left) = limit(&self.limits, team) else {
+        let Some(mut left) = self.limit(team) else {
             return true;
         };
         let tasks = self
@@ -98,7 +112,7 @@
         };
         let entry = self.teams.entry(team.into()).or_default();
         entry.tasks.insert((age, job.clone()), held);
-        entry.mark(limit(&self.limits, team))
+        self.mark_team(team)
     }
 
     /// Ends the count of a task.
@@ -107,11 +121,10 @@
             return Vec::new();
         };
         entry.tasks.remove(&(age, job.clone()));
-        let marks = entry.mark(limit(&self.limits, team));
         if entry.tasks.is_empty() {
             self.teams.remove(team);
         }
-        marks
+        self.mark_team(team)
     }
 
     /// Ends the count of all tasks.
@@ -125,6 +138,27 @@
         team.and_then(|team| team.tasks.get(&(age, job.clone())))
             .is_some_and(|held| held.borrowed)
     }
+
+    fn mark(&mut self) -> Vec<Mark> {
+        let names: Vec<TeamId> = self.teams.keys().cloned().collect();
+        names.iter().flat_map(|name| self.mark_team(name)).collect()
+    }
+
+    fn mark_team(&mut self, name: &str) -> Vec<Mark> {
+        let limit = self.limit(name);
+        let team = self.teams.get_mut(name);
+        team.map_or_else(Vec::new, |team| team.mark(limit))
+    }
+
+    /// What a team may hold here; `None` while no quotas are set.
+    fn limit(&self, team: &str) -> Option<Cap> {
+        if self.limits.is_empty() {
+            return None;
+        }
+        let limit = self.limits.get(team).copied().unwrap_or_default();
+        let elsewhere = self.elsewhere.get(team).copied().unwrap_or_default();
+        Some(limit.minus(elsewhere))
+    }
 }
 
 impl Team {
@@ -147,10 +181,3 @@
         marks
     }
 }
-
-fn limit(limits: &BTreeMap<TeamId, Cap>, team: &str) -> Option<Cap> {
-    if limits.is_empty() {
-        return None;
-    }
-    Some(limits.get(team).copied().unwrap_or_default())
-}
--- a/crates/wigeonhinge/src/scheduler.rs
+++ b/crates/wigeonhinge/src/scheduler.rs
@@ -35,6 +35,7 @@
 use crate::id::Fence;
 use crate::id::JobId;
 use crate::id::PoolId;
+use crate::id::TeamId;
 use crate::id::Time;
 use crate::id::VmId;
 use crate::job::Jobs;
@@ -161,6 +162,10 @@
             Event::Conflict { seq } => self.conflict(seq, now),
             Event::Read { seq, entry } => self.read(seq, entry, now),
             Event::Unavailable => self.unavailable(now),
+            Event::Elsewhere(held) => {
+                let marks = self.quotas.elsewhere(held);
+                self.apply_marks(marks);
+            }
             Event::Adopt(fleet) => self.adopt(&fleet, now),
             Event::Phases(phases) => self.phases(phases, now),
             Event::Reports(reports) => self.reports(reports, now),
@@ -198,6 +203,11 @@
         (self.placer.total(), self.placer.used())
     }
 
+    /// Returns what each team holds in this pool, for the other pools.
+    pub fn held(&self) -> BTreeMap<TeamId, Cap> {
+        self.quotas.held()
+    }
+
     /// Bytes of state, without allocator overhead.
     pub fn bytes(&self) -> usize {
         let jobs: usize = self.jobs.iter().map(|(_, job)| job_bytes(job)).sum();
@@ -220,8 +230,6 @@
     fn adopt(&mut self, fleet: &Fleet, now: Time) {
         let vms = fleet.inventory.iter().filter(|vm| vm.pool == self.pool);
         self.placer = Placer::new(vms);
-        let all = Placer::new(&fleet.inventory).total();
-        let part = self.placer.total();
         let rules = fleet.rules.iter();
         let teams = rules.clone().flat_map(|rules| &rules.teams);
         let limits = teams.map(|team| {
@@ -230,13 +238,14 @@
                 mem: i32::try_from(team.memory_mb).unwrap_or(i32::MAX),
                 acc: i32::try_from(team.accelerators).unwrap_or(i32::MAX),
             };
-            (team.name.as_str().into(), quota.share(part, all))
+            (team.name.as_str().into(), quota)
         });
-        self.quotas.set(limits.collect());
+        let marks = self.quotas.set(limits.collect());
         let mut pools = rules.flat_map(|rules| &rules.pools);
         let pool = pools.find(|pool| pool.name == self.pool);
         self.budget = pool.map_or(0, |pool| pool.max_unavailable as usize);
         self.hold_all(now);
+        self.apply_marks(marks);
         self.update_usable();
         self.drop_impossible(now);
         self.freed = true;
--- a/crates/wigeonhinge/src/scheduler/api.rs
+++ b/crates/wigeonhinge/src/scheduler/api.rs
@@ -14,9 +14,11 @@
 
 use crate::id::Fence;
 use crate::id::JobId;
+use crate::id::TeamId;
 use crate::id::Ticket;
 use crate::id::Time;
 use crate::id::VmId;
+use crate::place::Cap;
 
 /// One attempt to run a job; workers know it as `{job}.{attempt}`.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -116,6 +118,9 @@
     /// [`Action::Recover`], or answered with an error. An append may have
     /// taken effect.
     Unavailable,
+    /// What teams hold in the other pools, possibly out of date; it counts
+    /// against their quotas here. See [`Scheduler::held`](super::Scheduler::held).
+    Elsewhere(BTreeMap<TeamId, Cap>),
     /// A configuration came into force.
     Adopt(Box<Fleet>),
     /// Ledger phases of the VMs of the pool; a VM that is missing is not active.
