--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -5,7 +5,9 @@
 use serde::Serialize;
 
 pub(crate) mod command;
+pub mod jobs;
 mod plot;
+pub mod world;
 
 pub use crate::measure::plot::save;
 
--- a/crates/cli/src/measure/command.rs
+++ b/crates/cli/src/measure/command.rs
@@ -2,6 +2,7 @@
 
 use crate::exit::Exit;
 use crate::measure::Report;
+use crate::measure::jobs;
 use crate::measure::save;
 use crate::options::MeasureOptions;
 use crate::owner::Owner;
@@ -41,8 +42,11 @@
 }
 
 /// Runs a measurement; `None` when no measurement has the name.
-fn measure(_name: &str, _seed: u64, _owner: Owner) -> Option<Report> {
-    None
+fn measure(name: &str, seed: u64, owner: Owner) -> Option<Report> {
+    match name {
+        "jobs" => Some(jobs::run(seed, owner)),
+        _ => None,
+    }
 }
 
 /// Saves the figures of all reports in one plot.
