--- a/crates/wigeonhinge/src/scheduler/api.rs
+++ b/crates/wigeonhinge/src/scheduler/api.rs
@@ -14,9 +14,11 @@
 
 use crate::id::Fence;
 use crate::id::JobId;
+use crate::id::TeamId;
 use crate::id::Ticket;
 use crate::id::Time;
 use crate::id::VmId;
+use crate::place::Cap;
 
 /// One attempt to run a job; workers know it as `{job}.{attempt}`.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -116,6 +118,9 @@
     /// [`Action::Recover`], or answered with an error. An append may have
     /// taken effect.
     Unavailable,
+    /// What teams hold in the other pools, possibly out of date; it counts
+    /// against their quotas here. See [`Scheduler::held`](super::Scheduler::held).
+    Elsewhere(BTreeMap<TeamId, Cap>),
     /// A configuration came into force.
     Adopt(Box<Fleet>),
     /// Ledger phases of the VMs of the pool; a VM that is missing is not active.
@@ -197,8 +202,8 @@
         resume: bool,
         /// The worker stops the task when no renewal arrives for this long.
         ttl: Time,
-        /// Incarnation that the start is meant for; the worker fails the start
-        /// in any other, as a restart made it forget which starts to refuse.
+        /// Incarnation that the start is meant for; the worker answers
+        /// [`Reply::Restarted`] in any other, as a restart made it forget which starts to refuse.
         incarnation: u64,
     },
     /// Extend the lease of the task by its time to live.
@@ -220,6 +225,9 @@
 pub enum Reply {
     /// The command took effect, or had before; the task runs.
     Running,
+    /// The worker restarted since the incarnation that the start names; nothing
+    /// ran, and the start tells nothing about worker or job.
+    Restarted,
     /// The start failed before anything ran.
     StartFailed(CompactString),
     /// The task has ended well.
