--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,7 @@
 //! The entry daemon.
 
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 use eyre::Result;
 use eyre::WrapErr;
@@ -29,8 +30,18 @@
     settings: PathBuf,
 }
 
-fn main() -> Result<()> {
+fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
+    match run(arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("wigeonhinged: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: Arguments) -> Result<()> {
     let settings = Settings::open(&arguments.settings)?;
     let report = Report::open(&settings).wrap_err("cannot open the log and the metrics")?;
     let setup = Setup {
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use wigeonhinge_schema::settings;
 use wigeonhinge_standin::caller;
 use wigeonhinge_standin::caller::Balancer;
 use wigeonhinge_standin::caller::Verdict;
@@ -139,7 +140,19 @@
 }
 
 fn start(name: &str, arguments: &[&str]) -> Child {
-    let text = r#"{"entry": "e1", "zone": "z", "listen": "127.0.0.1:0"} // one entry"#;
+    let address = "127.0.0.1:0";
+    let settings = settings::Settings {
+        entry: "e1".into(),
+        zone: "z".into(),
+        listen: address.into(),
+        admin: address.into(),
+        peer: address.into(),
+        platform: "http://127.0.0.1:9".into(),
+        limits: Some(settings::Limits::default()),
+        identity: Some(wigeonhinged::peer::identity("e1").unwrap()),
+        ..settings::Settings::default()
+    };
+    let text = format!("{} // one entry", serde_json::to_string(&settings).unwrap());
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.jsonc"));
     fs::write(&path, text).unwrap();
     Command::new(env!("CARGO_BIN_EXE_wigeonhinged"))
