--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 pub(crate) mod command;
+pub mod overhead;
 mod plot;
 
 pub use crate::measure::plot::save;
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -167,6 +167,49 @@
     })
 }
 
+/// Sends requests on a number of connections, each without a pause between answer and request.
+///
+/// # Errors
+///
+/// Fails if no runtime can be started.
+pub fn saturate(
+    balancer: &Balancer,
+    stream: &Stream,
+    connections: usize,
+    time: Duration,
+    seed: u64,
+) -> io::Result<Vec<Record>> {
+    let caller = Rc::new(Caller {
+        balancer: balancer.clone(),
+        idle: RefCell::default(),
+    });
+    runtime()?.block_on(async move {
+        let start = Instant::now();
+        let tasks = (0..connections).map(|number| {
+            let caller = Rc::clone(&caller);
+            let stream = stream.clone();
+            compio::runtime::spawn(async move {
+                let mut records = Vec::new();
+                while start.elapsed() < time {
+                    let request = Request {
+                        key: format!("{seed}-{number}-{}", records.len()),
+                        stream: stream.clone(),
+                        idempotent: false,
+                    };
+                    records.push(caller.send(request, number, start.elapsed()).await);
+                }
+                records
+            })
+        });
+        let tasks: Vec<_> = tasks.collect();
+        let mut records = Vec::new();
+        for task in tasks {
+            records.extend(task.await.unwrap_or_default());
+        }
+        Ok(records)
+    })
+}
+
 /// Sends one request on a connection of its own and returns the whole answer.
 ///
 /// # Errors
