--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod command;
 pub mod jobs;
+pub mod overhead;
 mod plot;
 pub mod world;
 
