Audit role changes and skip a configuration that cannot be read

A value that cannot be read was fetched again twice a second by every entry; its version now counts as seen. Records of role changes go through the bounded ring and are read back after a lost answer.

--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -60,6 +60,7 @@
 mod region;
 mod spread;
 mod status;
+mod trail;
 
 /// Messages from the request path that wait for the control thread.
 const REQUESTS: usize = 1024;
--- a/crates/daemon/src/plane/calls.rs
+++ b/crates/daemon/src/plane/calls.rs
@@ -7,7 +7,6 @@
 use wigeonhinge::Time;
 use wigeonhinge::config;
 use wigeonhinge::lease;
-use wigeonhinge_schema::fleet::Config;
 
 use crate::control;
 use crate::control::Answer;
@@ -19,6 +18,7 @@
 use crate::plane::Order;
 use crate::plane::Outcome;
 use crate::plane::duty::Duty;
+use crate::plane::trail;
 use crate::platform::Authority;
 use crate::platform::Document;
 use crate::platform::HttpPlatform;
@@ -32,13 +32,15 @@
 #[derive(Debug)]
 pub(crate) enum Ended {
     /// A call for the configuration.
-    Config(watch::Call, Result<Option<Document<Config>>>),
+    Config(watch::Call, Result<Option<Document<Value>>>),
     /// A read of the VM list.
     Vms(Result<VmList>),
     /// A call of the session or of a role, and when it was sent.
     Control(control::Call, Time, Answer),
     /// An order of a role's controller.
     Order(Name, u64, Outcome),
+    /// A call of the audit trail.
+    Trail(trail::Call, trail::Answer),
 }
 
 /// Makes calls and sends their ends.
@@ -74,6 +76,14 @@
         });
     }
 
+    pub(crate) fn trail(&self, call: trail::Call) {
+        let caller = self.clone();
+        self.spawn(async move {
+            let answer = caller.make_trail(&call).await;
+            Ended::Trail(call, answer)
+        });
+    }
+
     fn spawn(&self, call: impl Future<Output = Ended> + 'static) {
         let ended = self.ended.clone();
         let task = async move {
@@ -131,6 +141,25 @@
         })
     }
 
+    async fn make_trail(&self, call: &trail::Call) -> trail::Answer {
+        let key = trail::key(call);
+        match call {
+            trail::Call::Load(_) => {
+                let found = self.platform.get(&key).await;
+                let found = found.map(|document| {
+                    document.map_or_else(Default::default, |document| {
+                        (document.version, document.value)
+                    })
+                });
+                trail::Answer::Loaded(found.ok())
+            }
+            trail::Call::Write(write) => {
+                let put = self.platform.put(&key, &write.document, write.expect, None);
+                trail::Answer::Swapped(put.await.ok())
+            }
+        }
+    }
+
     /// Sends an order unless the lease is over by now.
     async fn make_order(&self, duty: &Duty, session: LeaseId) -> Result<Outcome> {
         if !duty.lease.valid(self.start.elapsed()) {
--- a/crates/daemon/src/plane/core.rs
+++ b/crates/daemon/src/plane/core.rs
@@ -14,14 +14,18 @@
 use eyre::Result;
 use eyre::WrapErr;
 use futures_util::FutureExt;
+use serde_json::Value;
 use slog::Logger;
 use slog::info;
 use slog::warn;
 use wigeonhinge::Time;
+use wigeonhinge::audit::Kind;
+use wigeonhinge::audit::Record;
 use wigeonhinge::config;
 use wigeonhinge::config::Adopter;
 use wigeonhinge::config::Offer;
 use wigeonhinge::id::EntryId;
+use wigeonhinge::id::Fence;
 use wigeonhinge::id::VmId;
 use wigeonhinge::membership;
 use wigeonhinge::membership::Change;
@@ -55,6 +59,7 @@
 use crate::plane::duty::Duty;
 use crate::plane::outlet::Outlet;
 use crate::plane::spread::Spread;
+use crate::plane::trail::Trail;
 use crate::platform::Document;
 use crate::platform::HttpPlatform;
 use crate::platform::Platform;
@@ -105,6 +110,7 @@
     spread: Spread,
     duties: Duties,
     questions: Questions,
+    trail: Trail,
     told: Told,
     offers: Vec<peer::Offer>,
     blocked: BTreeSet<EntryId>,
@@ -195,6 +201,7 @@
             control: Control::new(own),
             duties: Duties::new(options.controllers),
             questions: Questions::default(),
+            trail: Trail::default(),
             told: Told::default(),
             offers: Vec::new(),
             blocked: BTreeSet::new(),
@@ -283,6 +290,9 @@
         for call in self.control.due(&candidates, now) {
             self.caller.control(call);
         }
+        if let Some(call) = self.trail.due(now) {
+            self.caller.trail(call);
+        }
     }
 
     /// Returns the entries that may take a role: known and not dead.
@@ -325,7 +335,7 @@
             Ended::Config(call, answer) => {
                 let answered = answer.is_ok();
                 if let Ok(Some(document)) = answer {
-                    self.offer(document);
+                    self.read(document);
                 }
                 self.watch.done(call, answered, now);
             }
@@ -348,6 +358,7 @@
                     self.notice(notice);
                 }
             }
+            Ended::Trail(call, answer) => self.trail.done(call, answer, now),
             Ended::Order(role, number, outcome) => {
                 self.drive(&role, Input::Done(number, outcome));
             }
@@ -361,6 +372,7 @@
             Notice::Gained(role, fence) => {
                 info!(self.log, "fleet: role taken"; "role" => %role, "fence" => fence);
                 let now = self.now();
+                self.trail.push(self.taken(&role, fence));
                 let Some(lease) = self.control.permit(&role, now) else {
                     return;
                 };
@@ -378,6 +390,19 @@
         }
     }
 
+    /// Returns the audit record of a role that this entry has taken.
+    fn taken(&self, role: &Name, fence: Fence) -> Record {
+        Record {
+            id: format!("role/{role}/{fence}"),
+            at_ms: unix_ms(),
+            who: self.control.own().entry.to_string(),
+            kind: Kind::Role.into(),
+            subject: role.to_string(),
+            reason: format!("taken with fence {fence}"),
+            ..Record::default()
+        }
+    }
+
     /// Gives an event to a controller if this entry may act in its role now.
     fn drive(&mut self, role: &Name, input: Input) {
         let now = self.now();
@@ -403,6 +428,25 @@
         }
     }
 
+    /// Reads a configuration from the store.
+    ///
+    /// One that cannot be read is not asked for again until its version changes.
+    fn read(&mut self, document: Document<Value>) {
+        match serde_json::from_value::<Config>(document.value) {
+            Ok(value) => self.offer(Document {
+                key: document.key,
+                version: document.version,
+                value,
+            }),
+            Err(error) => {
+                self.counters.faults += 1;
+                self.watch.seen(document.version);
+                warn!(self.log, "watch: unreadable configuration";
+                    "version" => document.version, "error" => %error);
+            }
+        }
+    }
+
     /// Offers a configuration for adoption, from the store or from a peer.
     fn offer(&mut self, document: Document<Config>) {
         let Document { version, value, .. } = document;
--- a/crates/daemon/tests/plane.rs
+++ b/crates/daemon/tests/plane.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use wigeonhinge_schema::audit::Log;
 use wigeonhinge_standin::platform::Mode;
 use wigeonhinge_standin::vms;
 use wigeonhinged::plane::Message;
@@ -204,6 +205,43 @@
     within(TAKE_OVER - shares, "roles", || roles(&nodes).len() == 2);
 }
 
+/// Guards against a role change without a record, or with two after lost answers,
+/// and against a role that its holder does not know of.
+#[test]
+fn role_audited() {
+    let net = Net::new(&["a", "a"]);
+    net.edit("first");
+    net.platform.state().lose_answers = 12;
+    let nodes = net.spawn_all();
+    within(TAKE_OVER, "roles", || roles(&nodes).len() == 2);
+    let records = || {
+        let state = net.platform.state();
+        let value = state.store.get("audit/0").map(|(_, value)| value.clone());
+        let log = value.map(serde_json::from_value::<Log>);
+        log.map_or(Vec::new(), |log| log.expect("log").records)
+    };
+    within(IN_FORCE, "records", || records().len() == 2);
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(records().len(), 2);
+    assert_eq!(net.platform.state().lose_answers, 0);
+}
+
+/// Guards against entries that fetch an unreadable configuration over and over.
+#[test]
+fn config_unreadable() {
+    let net = Net::new(&["a"]);
+    net.edit("first");
+    let nodes = net.spawn_all();
+    within(IN_FORCE, "first revision", || in_force(&nodes, 1));
+    let broken = serde_json::json!({ "revision": "two" });
+    let put = net.platform.state().store.put("config", broken, 1, None);
+    put.expect("put");
+    std::thread::sleep(Duration::from_secs(3));
+    let status = nodes[0].status();
+    assert_eq!(status.revision, 1);
+    assert!((1..=2).contains(&status.counters.faults), "{status:?}");
+}
+
 /// Guards against a graceful stop that leaves the shares unused for seconds.
 #[test]
 fn entry_finished() {
--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -1,9 +1,16 @@
 //! Tests of the platform client against the stand-in.
 
+use std::io::Read;
+use std::io::Write;
 use std::time::Duration;
 
+use proptest::prelude::any;
+use proptest::prelude::proptest;
+use proptest::test_runner::Config as Settings;
+use proptest::test_runner::RngSeed;
 use serde_json::Value;
 use serde_json::json;
+use wigeonhinge_schema::fleet::Config;
 use wigeonhinge_standin::platform::Mode;
 use wigeonhinge_standin::platform::Platform as Standin;
 use wigeonhinge_standin::vms::State;
@@ -242,3 +249,49 @@
     let list = client.workers(&["vm".into()]).await.expect("list");
     assert_eq!(list.workers[0].state, WorkerState::Broken);
 }
+
+/// Answers one connection with these bytes.
+fn answer(bytes: Vec<u8>) -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("listener");
+    let address = listener.local_addr().expect("address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("connection");
+        let mut request = [0; 1024];
+        let _ = stream.read(&mut request);
+        let _ = stream.write_all(&bytes);
+    });
+    format!("http://{address}")
+}
+
+fn ask(bytes: Vec<u8>) {
+    let base = answer(bytes);
+    let runtime = compio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        let client = HttpPlatform::new(&base, "entry-1").expect("client");
+        let client = client.with_timeout(Duration::from_millis(200));
+        let _ = client.watch::<Config>("config", 0, Duration::ZERO).await;
+    });
+}
+
+proptest! {
+    #![proptest_config(Settings {
+        cases: 100,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        ..Settings::default()
+    })]
+
+    /// Guards against a panic on an answer that is no HTTP.
+    #[test]
+    fn answer_arbitrary(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        ask(bytes);
+    }
+
+    /// Guards against a panic on a body that is no configuration.
+    #[test]
+    fn answer_body_arbitrary(body in "[\\[\\]{}\":,a-z0-9]{0,80}") {
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        let document = format!("{head}{body}");
+        ask(document.into_bytes());
+    }
+}
