--- a/crates/wigeonhinge/src/controller.rs
+++ b/crates/wigeonhinge/src/controller.rs
@@ -119,7 +119,7 @@
 }
 
 /// An order for a worker.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Order {
     /// VM.
     pub vm: VmId,
@@ -133,7 +133,7 @@
 }
 
 /// What an order asks of a worker.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Action {
     /// Take no new work.
     Cordon,
--- a/crates/wigeonhinge/src/ledger.rs
+++ b/crates/wigeonhinge/src/ledger.rs
@@ -45,6 +45,9 @@
     doc: schema::Ledger,
 }
 
+// A document holds no floating-point numbers.
+impl Eq for Ledger {}
+
 /// Counts of a pool.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Count {
