--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -14,7 +14,9 @@
 mod apply;
 mod audit;
 mod check;
+mod demo;
 mod exit;
+mod identity;
 mod status;
 mod wave;
 
@@ -58,7 +60,8 @@
         Command::Audit(options) => audit::run(&options),
         Command::Wave(options) => wave::run(&options),
         Command::Measure(options) => measure::command::run(&options),
-        Command::Demo(_) => Exit::Refused,
+        Command::Identity(options) => identity::run(&options),
+        Command::Demo(options) => demo::run(&options),
     }
 }
 
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -42,6 +42,9 @@
     /// Measures a decision against its baselines and bound.
     #[options(help = "measure waves, moves, buffer, floods, jobs, capacity or overhead")]
     Measure(MeasureOptions),
+    /// Makes a key for an entry.
+    #[options(help = "make the key of an entry and the fingerprint that its peers trust")]
+    Identity(IdentityOptions),
     /// Runs the demonstration.
     #[options(help = "run a fleet with its entries and stand-ins on loopback")]
     Demo(DemoOptions),
@@ -258,6 +261,17 @@
     pub name: String,
 }
 
+/// Options of `identity`.
+#[derive(Debug, Options)]
+pub struct IdentityOptions {
+    /// Whether to print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Name of the entry.
+    #[options(free, required, help = "name of the entry")]
+    pub entry: String,
+}
+
 /// Options of `demo`.
 #[derive(Debug, Options)]
 pub struct DemoOptions {
