--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -15,6 +15,7 @@
 use wigeonhinge::ledger::WaveChange;
 use wigeonhinge_schema::jobs::Job;
 use wigeonhinge_schema::jobs::Size;
+use wigeonhinge_schema::ledger::Phase;
 use wigeonhinge_schema::ledger::WaveState;
 use wigeonhinge_standin::caller;
 use wigeonhinge_standin::caller::Record;
@@ -49,7 +50,7 @@
 const IN_FORCE: Duration = Duration::from_secs(5);
 
 /// Time given to the wave, the job and the start of the entries.
-const PATIENCE: Duration = Duration::from_secs(120);
+const PATIENCE: Duration = Duration::from_secs(30);
 
 /// Share of its answered work that a queue keeps while another one floods.
 const KEPT: f64 = 0.99;
@@ -273,11 +274,28 @@
             .wave()
             .is_some_and(|wave| wave.state() == WaveState::Done)
     };
-    within(PATIENCE, "the wave is not done", || {
+    let end = within(PATIENCE, "the wave is not done", || {
         site.ledger().is_some_and(|(_, ledger)| done(&ledger))
+    });
+    end.wrap_err_with(|| {
+        site.ledger()
+            .map_or(String::new(), |(_, ledger)| describe(&ledger))
     })
 }
 
+/// Returns the state of the wave and the VMs that are out of service.
+fn describe(ledger: &Ledger) -> String {
+    let state = ledger
+        .wave()
+        .map_or("no wave", |wave| wave.state().as_str_name());
+    let out = ledger.vms().iter().filter(|vm| vm.phase() != Phase::Active);
+    let out: Vec<String> = out
+        .map(|vm| format!("{} {}", vm.name, vm.phase().as_str_name()))
+        .collect();
+    let reason = ledger.wave().map_or("", |wave| wave.reason.as_str());
+    format!("wave {state} {reason:?}, out of service: {}", out.join(", "))
+}
+
 /// Submits a job to an entry and waits for its end.
 fn run_job(site: &Site) -> Result<()> {
     let pool = site.owner.services()[0].0;
