Measure waves, moves and the buffer; return the reserve for a wave

The spare pools of the owners' fleets now promise one rack less: with the old promise the loss of a rack during the maintenance of the spare pool left less than was promised, and the wave paused for that reason. The balancer returns idle VMs of the spare pool while a wave is open.

--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -4,11 +4,16 @@
 
 use serde::Serialize;
 
+pub mod buffer;
 pub(crate) mod command;
 pub mod jobs;
 pub mod overhead;
 mod plot;
 pub mod world;
+mod fleets;
+pub mod moves;
+mod plot;
+pub mod waves;
 
 pub use crate::measure::plot::save;
 
--- a/crates/cli/src/owner.rs
+++ b/crates/cli/src/owner.rs
@@ -166,7 +166,8 @@
     }
 }
 
-/// Returns a pool that may lose one rack.
+/// Returns a pool that may lose one rack; the spare pool holds one more for the pool that loses a
+/// rack during its maintenance.
 fn pool(name: &str, count: usize, spare: bool) -> Pool {
     let count = u32::try_from(count).unwrap_or(u32::MAX);
     let rack = u32::try_from(RACK_VMS).unwrap_or(u32::MAX);
@@ -174,7 +175,7 @@
         name: name.to_owned(),
         spare,
         max_unavailable: rack,
-        promised: count - rack,
+        promised: count - rack * if spare { 2 } else { 1 },
         budgets: Vec::new(),
     }
 }
--- a/crates/wigeonhinge/src/moves.rs
+++ b/crates/wigeonhinge/src/moves.rs
@@ -131,9 +131,51 @@
             sides[to].lacks -= 1;
             sides[to].size += 1;
         }
+        if ledger.wave_open() {
+            self.return_reserve(ledger, &mut sides, &mut taken, &mut requests);
+        }
         requests
     }
 
+    /// Returns idle VMs to the spare pool, whose reserve a wave needs; at other times they stay
+    /// where they are, which saves moves.
+    fn return_reserve(
+        &self,
+        ledger: &Ledger,
+        sides: &mut [Side],
+        taken: &mut Vec<VmId>,
+        requests: &mut Vec<Request>,
+    ) {
+        let Some(spare) = ledger.pools().iter().find(|pool| pool.spare) else {
+            return;
+        };
+        for side in sides.iter_mut().filter(|side| side.pool != spare.name) {
+            while side.gives > 0 && side.room > 0 {
+                let Some(vm) = choose(ledger, &side.pool, &spare.name, taken) else {
+                    break;
+                };
+                if ledger.vm(&vm).is_none_or(|vm| vm.home != spare.name) {
+                    break;
+                }
+                requests.push(self.return_request(&vm, side, &spare.name));
+                taken.push(vm);
+                side.gives -= 1;
+                side.room -= 1;
+            }
+        }
+    }
+
+    fn return_request(&self, vm: &VmId, from: &Side, spare: &str) -> Request {
+        let reason = format_compact!(
+            "{} has used at most {:.1} of {} VMs for {} min; the wave needs the reserve",
+            from.pool,
+            from.high,
+            from.size,
+            minutes(self.policy.idle),
+        );
+        request(vm, spare, reason)
+    }
+
     fn request(&self, vm: &VmId, from: &Side, to: &Side) -> Request {
         let reason = format_compact!(
             "{} has used {:.1} of {} VMs for {} min; {} has used at most {:.1} of {} for {} min",
@@ -146,14 +188,7 @@
             from.size,
             minutes(self.policy.idle),
         );
-        Request {
-            author: CompactString::const_new("balancer"),
-            reason,
-            change: Change::Cordon {
-                vm: vm.clone(),
-                target: Some(to.pool.clone()),
-            },
-        }
+        request(vm, &to.pool, reason)
     }
 
     fn sides(&self, ledger: &Ledger) -> Vec<Side> {
@@ -230,6 +265,17 @@
     }
 }
 
+fn request(vm: &VmId, target: &str, reason: CompactString) -> Request {
+    Request {
+        author: CompactString::const_new("balancer"),
+        reason,
+        change: Change::Cordon {
+            vm: vm.clone(),
+            target: Some(target.into()),
+        },
+    }
+}
+
 /// Returns the pool with the most to give and the one that lacks the most.
 fn best_pair(sides: &[Side]) -> Option<(usize, usize)> {
     let to = (0..sides.len())
--- a/crates/wigeonhinge/src/wave.rs
+++ b/crates/wigeonhinge/src/wave.rs
@@ -191,7 +191,8 @@
         let mut blocked = ledger.vms().iter().filter(|vm| self.eligible(vm, wave));
         let mut out = ledger.vms().iter().filter(|vm| vm.phase() != Phase::Active);
         if let Some(vm) = blocked.next() {
-            if out.any(|vm| under_way(vm) || recent(vm)) {
+            let young = millis(now).saturating_sub(wave.started_ms) < grace;
+            if out.any(|vm| under_way(vm) || recent(vm)) || young && reserve_lent(ledger) {
                 return Vec::new();
             }
             let reason = blocked_reason(ledger, vm, blocked.count() + 1);
@@ -267,6 +268,15 @@
     !matches!(vm.phase(), Phase::Active | Phase::Down | Phase::Quarantined)
 }
 
+/// Returns whether VMs of the spare pool work elsewhere; the balancer returns idle ones.
+fn reserve_lent(ledger: &Ledger) -> bool {
+    let spare = ledger.pools().iter().find(|pool| pool.spare);
+    spare.is_some_and(|spare| {
+        let lent = |vm: &VmState| vm.home == spare.name && vm.pool != spare.name;
+        ledger.vms().iter().any(lent)
+    })
+}
+
 fn too_broken(wave: &Wave, progress: &Progress) -> Option<String> {
     let handled = progress.done + wave.broken;
     let broken = wave.broken;
