--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -6,14 +6,14 @@
 
 pub mod buffer;
 pub(crate) mod command;
+mod fleets;
 pub mod jobs;
+pub mod moves;
 pub mod overhead;
 mod plot;
-pub mod world;
-mod fleets;
-pub mod moves;
 mod plot;
 pub mod waves;
+pub mod world;
 
 pub use crate::measure::plot::save;
 
--- a/crates/wigeonhinge/tests/support/world.rs
+++ b/crates/standin/src/region.rs
@@ -33,56 +33,87 @@
 
 /// A worker and what is wrong with it.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Machine {
-    pub(crate) report: Worker,
-    pub(crate) fence: u64,
-    pub(crate) booted: Option<Time>,
-    pub(crate) lost: bool,
-    pub(crate) broken: bool,
+pub struct Machine {
+    /// What the worker reports.
+    pub report: Worker,
+    /// Highest fence that the worker has seen.
+    pub fence: u64,
+    /// End of a reboot.
+    pub booted: Option<Time>,
+    /// Whether the VM has failed.
+    pub lost: bool,
+    /// Whether the worker is unhealthy after a reboot.
+    pub broken: bool,
     /// Whether a broken worker is healthy in its first report after a reboot.
-    pub(crate) late: bool,
-    pub(crate) stuck: bool,
+    pub late: bool,
+    /// Whether the worker never becomes idle.
+    pub stuck: bool,
 }
 
 /// A controller and its view.
 #[derive(Clone, Debug)]
-pub(crate) struct Seat {
-    pub(crate) controller: Controller,
-    pub(crate) fence: Option<u64>,
-    pub(crate) paused: bool,
-    pub(crate) view: Option<(u64, Ledger)>,
-    pub(crate) held: Output,
+pub struct Seat {
+    /// Controller.
+    pub controller: Controller,
+    /// Fence that it takes for valid.
+    pub fence: Option<u64>,
+    /// Whether it is paused.
+    pub paused: bool,
+    /// Ledger that it last read, with the version.
+    pub view: Option<(u64, Ledger)>,
+    /// Decision that it had made when it was paused.
+    pub held: Output,
     /// Write that a slow store has yet to carry out, and the tick on which it does.
-    pub(crate) pending: Option<(Time, u64, Ledger)>,
+    pub pending: Option<(Time, u64, Ledger)>,
 }
 
+/// A region with two controllers, one of which may act on a lapsed lease.
 #[derive(Clone, Debug)]
-pub(crate) struct World {
-    pub(crate) now: Time,
-    pub(crate) fleet: Fleet,
-    pub(crate) revision: u64,
-    pub(crate) version: u64,
-    pub(crate) ledger: Ledger,
-    pub(crate) store_up: bool,
-    pub(crate) lose_answer: bool,
-    pub(crate) refuse_orders: bool,
-    pub(crate) slow: bool,
+pub struct Region {
+    /// Time since the Unix epoch.
+    pub now: Time,
+    /// Adopted fleet description.
+    pub fleet: Fleet,
+    /// Revision of the fleet description.
+    pub revision: u64,
+    /// Version of the ledger in the store.
+    pub version: u64,
+    /// Ledger in the store.
+    pub ledger: Ledger,
+    /// Whether the store responds.
+    pub store_up: bool,
+    /// Whether the answer to the next write is lost.
+    pub lose_answer: bool,
+    /// Whether all orders are lost.
+    pub refuse_orders: bool,
+    /// Whether the store takes several ticks for a write.
+    pub slow: bool,
     /// Copies of orders that reach their worker late.
-    pub(crate) late: Vec<(Time, Order)>,
-    pub(crate) cut: BTreeSet<String>,
-    pub(crate) list_lags: bool,
-    pub(crate) list: VmList,
-    pub(crate) machines: BTreeMap<VmId, Machine>,
-    pub(crate) seats: Vec<Seat>,
-    pub(crate) reports: BTreeMap<VmId, Worker>,
-    pub(crate) requests: Vec<Request>,
-    pub(crate) refused: Vec<String>,
-    pub(crate) faults: Vec<String>,
-    pub(crate) audit: BTreeSet<String>,
+    pub late: Vec<(Time, Order)>,
+    /// Zones that cannot be reached.
+    pub cut: BTreeSet<String>,
+    /// Whether the VM list is no longer renewed.
+    pub list_lags: bool,
+    /// VM list.
+    pub list: VmList,
+    /// VMs and their workers.
+    pub machines: BTreeMap<VmId, Machine>,
+    /// Controllers; the first holds the role at the start.
+    pub seats: Vec<Seat>,
+    /// Latest reports.
+    pub reports: BTreeMap<VmId, Worker>,
+    /// Requests until a write has answered them.
+    pub requests: Vec<Request>,
+    /// Reasons of refused requests.
+    pub refused: Vec<String>,
+    /// Broken properties that were found.
+    pub faults: Vec<String>,
+    /// Identifiers of the audit records.
+    pub audit: BTreeSet<String>,
 }
 
 /// Returns a fleet of three pools in three zones; each rack holds VMs of several pools.
-pub(crate) fn fleet() -> Fleet {
+pub fn fleet() -> Fleet {
     let zones = ["a", "b", "c"].map(|name| Zone {
         name: name.into(),
         region: "north".into(),
@@ -131,19 +162,19 @@
     }
 }
 
-impl World {
-    /// Returns a world whose VMs are all active under one controller, seat 0 with fence 1.
-    pub(crate) fn new() -> Self {
-        let mut world = Self::empty(fleet());
-        world.run(6);
+impl Region {
+    /// Returns a region whose VMs are all active under one controller, seat 0 with fence 1.
+    pub fn small() -> Self {
+        let mut region = Self::empty(fleet());
+        region.run(6);
         assert!(
-            world
+            region
                 .ledger
                 .vms()
                 .iter()
                 .all(|vm| vm.phase() == Phase::Active)
         );
-        world
+        region
     }
 
     fn empty(fleet: Fleet) -> Self {
@@ -177,14 +208,14 @@
     }
 
     /// Passes a number of ticks.
-    pub(crate) fn run(&mut self, ticks: u32) {
+    pub fn run(&mut self, ticks: u32) {
         for _ in 0..ticks {
             self.tick();
         }
     }
 
     /// Passes ticks until a condition holds; fails after the given number.
-    pub(crate) fn until(&mut self, ticks: u32, what: &str, done: impl Fn(&Self) -> bool) {
+    pub fn until(&mut self, ticks: u32, what: &str, done: impl Fn(&Self) -> bool) {
         for _ in 0..ticks {
             if done(self) {
                 return;
@@ -201,7 +232,7 @@
     }
 
     /// Passes a tick: machines, polls, then each controller in turn.
-    pub(crate) fn tick(&mut self) {
+    pub fn tick(&mut self) {
         self.now += TICK;
         for machine in self.machines.values_mut() {
             machine.tick(self.now);
@@ -215,7 +246,7 @@
     }
 
     /// Lets one controller decide and carries out what it gives back.
-    pub(crate) fn decide(&mut self, index: usize) {
+    pub fn decide(&mut self, index: usize) {
         if self.seats[index].paused {
             return;
         }
@@ -259,7 +290,8 @@
         true
     }
 
-    pub(crate) fn output(&mut self, index: usize) -> Output {
+    /// Returns what a controller decides on its view.
+    pub fn output(&mut self, index: usize) -> Output {
         let store_up = self.store_up;
         let seat = &mut self.seats[index];
         let view = seat.view.as_ref().filter(|_| store_up);
@@ -276,7 +308,7 @@
     }
 
     /// Pauses the holder with a decision in hand; the other controller takes the role.
-    pub(crate) fn lapse(&mut self) {
+    pub fn lapse(&mut self) {
         let holder = self.holder();
         if self.seats[1 - holder].paused {
             return;
@@ -288,7 +320,7 @@
     }
 
     /// Wakes a paused controller, which acts on its old decision before it notices.
-    pub(crate) fn wake(&mut self) {
+    pub fn wake(&mut self) {
         let Some(index) = self.seats.iter().position(|seat| seat.paused) else {
             return;
         };
@@ -302,12 +334,13 @@
         self.seats[index].fence = None;
     }
 
-    pub(crate) fn holder(&self) -> usize {
+    /// Returns the controller with the higher fence.
+    pub fn holder(&self) -> usize {
         usize::from(self.seats[1].fence > self.seats[0].fence)
     }
 
     /// Edits the inventory: one VM leaves the fleet or returns, another changes its pool.
-    pub(crate) fn edit(&mut self) {
+    pub fn edit(&mut self) {
         self.revision += 1;
         let mut fleet = fleet();
         if self.revision.is_multiple_of(2) {
@@ -322,7 +355,7 @@
     }
 
     /// Replaces the ledger by compare-and-swap; returns whether the writer learns of its success.
-    pub(crate) fn write(&mut self, expect: u64, ledger: Ledger) -> bool {
+    pub fn write(&mut self, expect: u64, ledger: Ledger) -> bool {
         if !self.store_up || expect != self.version {
             return false;
         }
@@ -333,7 +366,7 @@
     }
 
     /// Carries orders to the workers that can be reached.
-    pub(crate) fn deliver(&mut self, orders: Vec<Order>) {
+    pub fn deliver(&mut self, orders: Vec<Order>) {
         if self.refuse_orders {
             return;
         }
@@ -362,13 +395,14 @@
     }
 
     /// Asks for a wave.
-    pub(crate) fn start_wave(&mut self, id: &str) {
+    pub fn start_wave(&mut self, id: &str) {
         let before = self.now;
         let (id, author) = (id.into(), "operator".into());
         self.ask(Change::Wave(WaveChange::Start { id, author, before }));
     }
 
-    pub(crate) fn ask(&mut self, change: Change) {
+    /// Asks for a change.
+    pub fn ask(&mut self, change: Change) {
         self.requests.push(Request {
             author: "operator".into(),
             reason: "test".into(),
@@ -377,7 +411,7 @@
     }
 
     /// Makes the VMs of a rack fail or return.
-    pub(crate) fn set_rack(&mut self, rack: &str, lost: bool) -> Vec<VmId> {
+    pub fn set_rack(&mut self, rack: &str, lost: bool) -> Vec<VmId> {
         let names: Vec<VmId> = self
             .fleet
             .inventory
@@ -391,17 +425,20 @@
         names
     }
 
-    pub(crate) fn set_lost(&mut self, name: &str, lost: bool) {
+    /// Makes a VM fail or return.
+    pub fn set_lost(&mut self, name: &str, lost: bool) {
         if let Some(machine) = self.machines.get_mut(name) {
             machine.lost = lost;
         }
     }
 
-    pub(crate) fn phase(&self, name: &str) -> Option<Phase> {
+    /// Returns the phase of a VM.
+    pub fn phase(&self, name: &str) -> Option<Phase> {
         self.ledger.vm(name).map(|vm| vm.phase())
     }
 
-    pub(crate) fn maintained(&self) -> usize {
+    /// Returns the number of VMs maintained since the start of the wave.
+    pub fn maintained(&self) -> usize {
         let start = self.ledger.wave().map_or(u64::MAX, |wave| wave.started_ms);
         let vms = self.ledger.vms().iter();
         vms.filter(|vm| vm.maintained_ms >= start).count()
@@ -412,7 +449,8 @@
         vm.map_or(String::new(), |vm| vm.zone.clone())
     }
 
-    pub(crate) fn poll(&mut self) {
+    /// Renews the reports and the VM list.
+    pub fn poll(&mut self) {
         let names: Vec<VmId> = self.machines.keys().cloned().collect();
         for name in names {
             let machine = &self.machines[&name];
@@ -494,7 +532,7 @@
     }
 
     /// Follows an order unless a later one was seen; a reboot clears what the worker remembers.
-    pub(crate) fn obey(&mut self, order: &Order, now: Time) {
+    pub fn obey(&mut self, order: &Order, now: Time) {
         let late = order.fence < self.fence || order.step < self.report.step;
         if self.lost || self.booted.is_some() || late {
             return;
--- a/crates/wigeonhinge/tests/buffer.rs
+++ b/crates/wigeonhinge/tests/buffer.rs
@@ -1,19 +1,15 @@
 //! Guards the reserve: what a fleet needs to hold back and what the loss of a rack leaves.
 
-#[allow(dead_code)]
-#[path = "support/world.rs"]
-mod world;
-
 use wigeonhinge::buffer::Headroom;
 use wigeonhinge::buffer::lost_racks;
 use wigeonhinge::buffer::need;
 use wigeonhinge_schema::ledger::Phase;
-
-use crate::world::World;
+use wigeonhinge_standin::region;
+use wigeonhinge_standin::region::Region;
 
 #[test]
 fn need_sizes() {
-    let buffer = need(&world::fleet());
+    let buffer = need(&region::fleet());
     assert_eq!((buffer.held, buffer.maintenance, buffer.rack), (10, 6, 4));
     assert_eq!(buffer.shared(), 10);
     assert_eq!((buffer.unshared, buffer.spare_racks), (12, 18));
@@ -24,7 +20,7 @@
 /// A reserve is not shared between regions, because each region decides by itself.
 #[test]
 fn need_regions() {
-    let mut fleet = world::fleet();
+    let mut fleet = region::fleet();
     let rules = fleet.rules.as_mut().expect("rules");
     rules.zones[2].region = "south".into();
     assert_eq!(need(&fleet).rack, 8);
@@ -32,7 +28,7 @@
 
 #[test]
 fn holds_until_reserve_used() {
-    let world = World::new();
+    let world = Region::small();
     let (mut headroom, slots) = Headroom::new(&world.ledger);
     let of = |pool: &str| {
         let vms = world.ledger.vms().iter().zip(&slots);
@@ -53,7 +49,7 @@
 /// While a rack is lost the reserve is in use for it, so the other pools may go on.
 #[test]
 fn holds_during_loss() {
-    let mut world = World::new();
+    let mut world = Region::small();
     world.set_rack("r2", true);
     world.run(4);
     let lost = lost_racks(world.ledger.vms());
--- a/crates/wigeonhinge/tests/controller.rs
+++ b/crates/wigeonhinge/tests/controller.rs
@@ -3,31 +3,27 @@
 #[allow(dead_code)]
 #[path = "support/failure.rs"]
 mod failure;
-#[allow(dead_code)]
-#[path = "support/world.rs"]
-mod world;
-
 use rstest::rstest;
 use wigeonhinge_schema::ledger::Phase;
 use wigeonhinge_schema::ledger::WaveState;
+use wigeonhinge_standin::region::Region;
 
 use crate::failure::FAILURES;
 use crate::failure::Failure;
-use crate::world::World;
 
-fn state(world: &World) -> Option<WaveState> {
+fn state(world: &Region) -> Option<WaveState> {
     world.ledger.wave().map(|wave| wave.state())
 }
 
-fn settled(world: &World) -> bool {
+fn settled(world: &Region) -> bool {
     let all = world.ledger.vms().iter();
     let mut open = all.filter(|vm| vm.phase() != Phase::Active);
     state(world) == Some(WaveState::Done) && open.next().is_none()
 }
 
 /// Runs a wave through two overlapping failures that begin after some ticks.
-fn run_wave(first: Failure, second: Failure, after: u32) -> World {
-    let mut world = World::new();
+fn run_wave(first: Failure, second: Failure, after: u32) -> Region {
+    let mut world = Region::small();
     world.start_wave("w1");
     world.run(after);
     first.begin(&mut world);
@@ -62,7 +58,7 @@
 #[case::no_lease(false, true)]
 #[case::no_store(true, false)]
 fn step_holds(#[case] lease: bool, #[case] store: bool) {
-    let mut world = World::new();
+    let mut world = Region::small();
     world.start_wave("w1");
     world.until(100, "a reboot", |world| {
         world
@@ -87,7 +83,7 @@
 /// behind the last write of the earlier holder.
 #[test]
 fn step_claims_first() {
-    let mut world = World::new();
+    let mut world = Region::small();
     world.start_wave("w1");
     world.until(50, "a drain", |world| {
         world
@@ -110,7 +106,7 @@
 /// A controller whose role has a later holder acts on nothing.
 #[test]
 fn step_deposed() {
-    let mut world = World::new();
+    let mut world = Region::small();
     world.seats[1].fence = Some(9);
     world.seats[0].paused = true;
     world.run(1);
@@ -123,7 +119,7 @@
 /// A VM that fails counts as down and is admitted again once the list and its worker agree.
 #[test]
 fn step_readmits() {
-    let mut world = World::new();
+    let mut world = Region::small();
     world.set_lost("crews-3", true);
     world.until(20, "down", |world| {
         world.phase("crews-3") == Some(Phase::Down)
@@ -138,7 +134,7 @@
 /// starts nothing.
 #[test]
 fn step_blind() {
-    let mut world = World::new();
+    let mut world = Region::small();
     world.cut = ["a", "b", "c"].map(String::from).into();
     world.run(10);
     world.start_wave("w1");
@@ -155,7 +151,7 @@
 /// An active worker that refuses work is not counted as available, whoever cordoned it.
 #[test]
 fn step_strange_cordon() {
-    let mut world = World::new();
+    let mut world = Region::small();
     let machine = world.machines.get_mut("crews-1").expect("machine");
     machine.report.cordoned = true;
     world.poll();
@@ -169,7 +165,7 @@
 /// A worker that restarts between two polls is noticed, because it has forgotten its last order.
 #[test]
 fn step_restart() {
-    let mut world = World::new();
+    let mut world = Region::small();
     let machine = world.machines.get_mut("crews-1").expect("machine");
     machine.report.step = 0;
     machine.report.boot += 1;
@@ -184,7 +180,7 @@
 /// A list that lags starts no disruption, because VMs that it does not show yet may be gone.
 #[test]
 fn step_stale_list() {
-    let mut world = World::new();
+    let mut world = Region::small();
     world.list_lags = true;
     world.run(40);
     world.start_wave("w1");
@@ -204,7 +200,7 @@
 /// admitted.
 #[test]
 fn step_inventory_edits() {
-    let mut world = World::new();
+    let mut world = Region::small();
     world.edit();
     world.until(200, "edit followed", |world| {
         let moved = world.ledger.vm("spare-6").map(|vm| vm.pool.as_str()) == Some("quoting");
@@ -221,7 +217,7 @@
 /// A write whose answer was lost is neither repeated nor logged twice.
 #[test]
 fn step_answer_lost() {
-    let mut world = World::new();
+    let mut world = Region::small();
     world.lose_answer = true;
     world.start_wave("w1");
     world.run(2);
--- a/crates/wigeonhinge/tests/fleet_exploration.rs
+++ b/crates/wigeonhinge/tests/fleet_exploration.rs
@@ -3,10 +3,6 @@
 //! The transitions are those that ship; this file only wires them to a store, a network and
 //! workers. Each property is also shown to fail when one guard is removed.
 
-#[allow(dead_code)]
-#[path = "support/world.rs"]
-mod world;
-
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::hash::Hash;
@@ -32,6 +28,7 @@
 use wigeonhinge::ledger::WaveChange;
 use wigeonhinge_schema::fleet::Fleet;
 use wigeonhinge_schema::ledger::Phase;
+use wigeonhinge_standin::region;
 
 const NOW: Time = Duration::from_secs(9000);
 const VMS: [&str; 3] = ["crews-0", "crews-1", "spare-0"];
@@ -115,7 +112,7 @@
 
 impl Model {
     fn new(without: Without, bounds: Bounds) -> Self {
-        let mut fleet = world::fleet();
+        let mut fleet = region::fleet();
         fleet.inventory.retain(|vm| VMS.contains(&vm.name.as_str()));
         let rules = fleet.rules.as_mut().expect("rules");
         rules.pools.retain(|pool| pool.name != "quoting");
--- a/crates/wigeonhinge/tests/fleet_stateful.rs
+++ b/crates/wigeonhinge/tests/fleet_stateful.rs
@@ -1,12 +1,8 @@
 //! Stateful fuzzing of the fleet controller and of waves with two controllers and fixed seeds.
 //!
-//! The oracle is `World`: it compares each write with the value it replaces and each worker with
+//! The oracle is `Region`: it compares each write with the value it replaces and each worker with
 //! the ledger. In the end every failure is over, and the fleet has to recover.
 
-#[allow(dead_code)]
-#[path = "support/world.rs"]
-mod world;
-
 use proptest::prelude::*;
 use proptest::sample::select;
 use proptest::strategy::Union;
@@ -18,8 +14,8 @@
 use wigeonhinge::ledger::Change;
 use wigeonhinge::ledger::WaveChange;
 use wigeonhinge_schema::ledger::Phase;
-
-use crate::world::World;
+use wigeonhinge_standin::region;
+use wigeonhinge_standin::region::Region;
 
 #[derive(Clone, Debug)]
 enum Op {
@@ -129,14 +125,14 @@
 struct Fleet;
 
 impl StateMachineTest for Fleet {
-    type SystemUnderTest = World;
+    type SystemUnderTest = Region;
     type Reference = Model;
 
-    fn init_test((): &()) -> World {
-        World::new()
+    fn init_test((): &()) -> Region {
+        Region::small()
     }
 
-    fn apply(mut world: World, (): &(), op: Op) -> World {
+    fn apply(mut world: Region, (): &(), op: Op) -> Region {
         let reason = String::from("fuzz");
         match op {
             Op::Tick(ticks) => world.run(ticks),
@@ -169,11 +165,11 @@
         world
     }
 
-    fn check_invariants(world: &World, (): &()) {
+    fn check_invariants(world: &Region, (): &()) {
         assert!(world.faults.is_empty(), "{:?}", world.faults);
     }
 
-    fn teardown(mut world: World, (): ()) {
+    fn teardown(mut world: Region, (): ()) {
         recover(&mut world);
         world.until(4000, "every listed VM active in its pool", |world| {
             let vms = world.ledger.vms();
@@ -188,7 +184,7 @@
 }
 
 /// Ends every failure; broken machines are replaced.
-fn recover(world: &mut World) {
+fn recover(world: &mut Region) {
     world.wake();
     world.store_up = true;
     world.slow = false;
@@ -204,7 +200,7 @@
     }
 }
 
-fn set(world: &mut World, vm: &str, change: impl Fn(&mut world::Machine)) {
+fn set(world: &mut Region, vm: &str, change: impl Fn(&mut region::Machine)) {
     if let Some(machine) = world.machines.get_mut(vm) {
         change(machine);
     }
--- a/crates/wigeonhinge/tests/ledger.rs
+++ b/crates/wigeonhinge/tests/ledger.rs
@@ -1,9 +1,5 @@
 //! Guards the rules of the ledger: ownership, phase order, fence and budgets.
 
-#[allow(dead_code)]
-#[path = "support/world.rs"]
-mod world;
-
 use std::time::Duration;
 
 use rstest::rstest;
@@ -16,6 +12,7 @@
 use wigeonhinge::ledger::WaveChange;
 use wigeonhinge_schema::ledger::Phase;
 use wigeonhinge_schema::ledger::WaveState;
+use wigeonhinge_standin::region;
 
 const NOW: Time = Duration::from_secs(5000);
 
@@ -33,7 +30,7 @@
 }
 
 fn inventory(revision: u64) -> Change {
-    let fleet = Box::new(world::fleet());
+    let fleet = Box::new(region::fleet());
     Change::Inventory { revision, fleet }
 }
 
@@ -238,7 +235,7 @@
         drained(vm),
         Change::Move { vm: vm.into() },
     ];
-    let mut fleet = world::fleet();
+    let mut fleet = region::fleet();
     fleet.inventory.retain(|item| item.name != vm);
     let fleet = Box::new(fleet);
     let ledger = active().apply_all(&steps, 1, NOW).expect("move");
@@ -279,7 +276,7 @@
 /// A new VM of an old name begins above the steps that its worker may remember.
 #[test]
 fn apply_step_reused() {
-    let mut fleet = world::fleet();
+    let mut fleet = region::fleet();
     fleet.inventory.retain(|item| item.name != "crews-0");
     let removal = Change::Inventory {
         revision: 2,
--- a/crates/wigeonhinge/tests/moves.rs
+++ b/crates/wigeonhinge/tests/moves.rs
@@ -1,9 +1,5 @@
 //! Guards the balancer: moves follow demand that lasts and never break a promise.
 
-#[allow(dead_code)]
-#[path = "support/world.rs"]
-mod world;
-
 use std::time::Duration;
 
 use wigeonhinge::controller::Request;
@@ -12,8 +8,7 @@
 use wigeonhinge::moves::Balancer;
 use wigeonhinge::moves::Policy;
 use wigeonhinge_schema::ledger::WaveState;
-
-use crate::world::World;
+use wigeonhinge_standin::region::Region;
 
 const MINUTE: Time = Duration::from_secs(60);
 
@@ -42,7 +37,7 @@
 #[test]
 fn plan_lasting() {
     let balancer = balancer(|_| [8.4, 2.0, 1.0]);
-    let requests = balancer.plan(&World::new().ledger);
+    let requests = balancer.plan(&Region::small().ledger);
     assert_eq!(targets(&requests), ["crews", "crews"]);
     assert!(
         requests[0]
@@ -64,14 +59,14 @@
         };
         [burst(0), burst(1), burst(2)]
     });
-    assert!(balancer.plan(&World::new().ledger).is_empty());
+    assert!(balancer.plan(&Region::small().ledger).is_empty());
 }
 
 /// Demand that only the last 10 minutes had does not last yet.
 #[test]
 fn plan_surge() {
     let balancer = balancer(|sample| [if sample < 1020 { 2.0 } else { 9.0 }, 2.0, 1.0]);
-    assert!(balancer.plan(&World::new().ledger).is_empty());
+    assert!(balancer.plan(&Region::small().ledger).is_empty());
 }
 
 /// Without a full window, as after a change of the holder, nothing moves.
@@ -82,20 +77,20 @@
         balancer.observe("crews", 20.0, MINUTE * minute);
         balancer.observe("spare", 0.0, MINUTE * minute);
     }
-    assert!(balancer.plan(&World::new().ledger).is_empty());
+    assert!(balancer.plan(&Region::small().ledger).is_empty());
 }
 
 /// Pools at their promise and their budget give nothing away, however idle they are.
 #[test]
 fn plan_promise() {
     let balancer = balancer(|_| [1.0, 1.0, 12.0]);
-    assert!(balancer.plan(&World::new().ledger).is_empty());
+    assert!(balancer.plan(&Region::small().ledger).is_empty());
 }
 
 /// A moved VM stays when the demand ends, and returns to the reserve once a wave waits for it.
 #[test]
 fn plan_returns_for_wave() {
-    let mut world = World::new();
+    let mut world = Region::small();
     world.fleet.rules.as_mut().expect("rules").pools[2].promised = 4;
     world.revision += 1;
     world.run(2);
--- a/crates/wigeonhinge/tests/support/failure.rs
+++ b/crates/wigeonhinge/tests/support/failure.rs
@@ -1,6 +1,7 @@
 //! Failures of design section 1.6 that touch the fleet, each with its beginning and its end.
 
-use crate::world::World;
+use wigeonhinge_standin::region::Machine;
+use wigeonhinge_standin::region::Region;
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Failure {
@@ -30,7 +31,7 @@
 ];
 
 impl Failure {
-    pub(crate) fn begin(self, world: &mut World) {
+    pub(crate) fn begin(self, world: &mut Region) {
         match self {
             Self::StoreDown => world.store_up = false,
             Self::AnswerLost => world.lose_answer = true,
@@ -45,7 +46,7 @@
         }
     }
 
-    pub(crate) fn end(self, world: &mut World) {
+    pub(crate) fn end(self, world: &mut Region) {
         match self {
             Self::StoreDown => world.store_up = true,
             Self::AnswerLost => world.lose_answer = false,
@@ -65,7 +66,7 @@
     }
 }
 
-fn set(world: &mut World, name: &str, change: impl Fn(&mut crate::world::Machine)) {
+fn set(world: &mut Region, name: &str, change: impl Fn(&mut Machine)) {
     if let Some(machine) = world.machines.get_mut(name) {
         change(machine);
     }
--- a/crates/wigeonhinge/tests/wave.rs
+++ b/crates/wigeonhinge/tests/wave.rs
@@ -1,9 +1,5 @@
 //! Guards the maintenance wave: its steps, its controls and its reasons to pause.
 
-#[allow(dead_code)]
-#[path = "support/world.rs"]
-mod world;
-
 use std::time::Duration;
 
 use rstest::rstest;
@@ -14,28 +10,27 @@
 use wigeonhinge::wave::Progress;
 use wigeonhinge_schema::ledger::Phase;
 use wigeonhinge_schema::ledger::WaveState;
+use wigeonhinge_standin::region::Region;
 
-use crate::world::World;
-
-fn state(world: &World) -> Option<WaveState> {
+fn state(world: &Region) -> Option<WaveState> {
     world.ledger.wave().map(|wave| wave.state())
 }
 
-fn reason(world: &World) -> &str {
+fn reason(world: &Region) -> &str {
     world.ledger.wave().map_or("", |wave| wave.reason.as_str())
 }
 
-fn started() -> World {
-    let mut world = World::new();
+fn started() -> Region {
+    let mut world = Region::small();
     world.start_wave("w1");
     world
 }
 
-fn done(world: &World) -> bool {
+fn done(world: &Region) -> bool {
     state(world) == Some(WaveState::Done)
 }
 
-fn in_phase(world: &World, phase: Phase) -> usize {
+fn in_phase(world: &Region, phase: Phase) -> usize {
     world
         .ledger
         .vms()
@@ -88,8 +83,8 @@
     );
 }
 
-fn with_spare_promise(promised: u32) -> World {
-    let mut world = World::new();
+fn with_spare_promise(promised: u32) -> Region {
+    let mut world = Region::small();
     let rules = world.fleet.rules.as_mut().expect("rules");
     rules.pools[2].promised = promised;
     world.revision += 1;
@@ -100,7 +95,7 @@
 
 #[test]
 fn next_pauses_without_budget() {
-    let mut world = World::new();
+    let mut world = Region::small();
     let rules = world.fleet.rules.as_mut().expect("rules");
     rules.pools[0].max_unavailable = 0;
     world.revision += 1;
@@ -213,7 +208,7 @@
 /// Every VM is maintained once in 6 weeks without anyone asking for it.
 #[test]
 fn due_by_default() {
-    let mut world = World::new();
+    let mut world = Region::small();
     assert!(wave::due(&world.ledger, 0, world.now).is_none());
     world.now += Duration::from_secs(37 * 24 * 3600);
     world.run(2);
