--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -293,7 +293,10 @@
         .map(|vm| format!("{} {}", vm.name, vm.phase().as_str_name()))
         .collect();
     let reason = ledger.wave().map_or("", |wave| wave.reason.as_str());
-    format!("wave {state} {reason:?}, out of service: {}", out.join(", "))
+    format!(
+        "wave {state} {reason:?}, out of service: {}",
+        out.join(", ")
+    )
 }
 
 /// Submits a job to an entry and waits for its end.
--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -4,10 +4,14 @@
 
 use serde::Serialize;
 
+pub mod buffer;
 pub(crate) mod command;
+mod fleets;
 pub mod jobs;
+pub mod moves;
 pub mod overhead;
 mod plot;
+pub mod waves;
 pub mod world;
 
 pub use crate::measure::plot::save;
--- a/crates/wigeonhinge/src/moves.rs
+++ b/crates/wigeonhinge/src/moves.rs
@@ -28,10 +28,8 @@
     pub lasting: Duration,
     /// Time over which a pool must have had no use for a VM before it gives it away.
     pub idle: Duration,
-    /// Share of its VMs that a pool has to use before it receives more.
+    /// Share of its VMs that a pool has to use before it receives more, and at most uses then.
     pub full: f64,
-    /// Share of its VMs that a pool uses after it has received enough.
-    pub target: f64,
     /// Share of its VMs that a pool may use after it has given some away.
     ///
     /// It is lower than `full`, so that a pool does not ask for the same VM back.
@@ -42,9 +40,8 @@
     fn default() -> Self {
         Self {
             lasting: Duration::from_secs(30 * 60),
-            idle: Duration::from_secs(2 * 3600),
+            idle: Duration::from_secs(45 * 60),
             full: 0.9,
-            target: 0.85,
             given: 0.8,
         }
     }
@@ -131,9 +128,51 @@
             sides[to].lacks -= 1;
             sides[to].size += 1;
         }
+        if ledger.wave_open() {
+            self.return_reserve(ledger, &mut sides, &mut taken, &mut requests);
+        }
         requests
     }
 
+    /// Returns idle VMs to the spare pool, whose reserve a wave needs; at other times they stay
+    /// where they are, which saves moves.
+    fn return_reserve(
+        &self,
+        ledger: &Ledger,
+        sides: &mut [Side],
+        taken: &mut Vec<VmId>,
+        requests: &mut Vec<Request>,
+    ) {
+        let Some(spare) = ledger.pools().iter().find(|pool| pool.spare) else {
+            return;
+        };
+        for side in sides.iter_mut().filter(|side| side.pool != spare.name) {
+            while side.gives > 0 && side.room > 0 {
+                let Some(vm) = choose(ledger, &side.pool, &spare.name, taken) else {
+                    break;
+                };
+                if ledger.vm(&vm).is_none_or(|vm| vm.home != spare.name) {
+                    break;
+                }
+                requests.push(self.return_request(&vm, side, &spare.name));
+                taken.push(vm);
+                side.gives -= 1;
+                side.room -= 1;
+            }
+        }
+    }
+
+    fn return_request(&self, vm: &VmId, from: &Side, spare: &str) -> Request {
+        let reason = format_compact!(
+            "{} has used at most {:.1} of {} VMs for {} min; the wave needs the reserve",
+            from.pool,
+            from.high,
+            from.size,
+            minutes(self.policy.idle),
+        );
+        request(vm, spare, reason)
+    }
+
     fn request(&self, vm: &VmId, from: &Side, to: &Side) -> Request {
         let reason = format_compact!(
             "{} has used {:.1} of {} VMs for {} min; {} has used at most {:.1} of {} for {} min",
@@ -146,14 +185,7 @@
             from.size,
             minutes(self.policy.idle),
         );
-        Request {
-            author: CompactString::const_new("balancer"),
-            reason,
-            change: Change::Cordon {
-                vm: vm.clone(),
-                target: Some(to.pool.clone()),
-            },
-        }
+        request(vm, &to.pool, reason)
     }
 
     fn sides(&self, ledger: &Ledger) -> Vec<Side> {
@@ -174,9 +206,9 @@
     fn side(&self, pool: PoolId, count: &Count, coming: u32) -> Option<Side> {
         let demand = self.demand.get(&pool)?;
         let lasting = demand.quantile(minutes(self.policy.lasting), 0.5)?;
-        let high = demand.quantile(minutes(self.policy.idle), 0.9)?;
+        let high = demand.quantile(minutes(self.policy.idle), 0.75)?;
         let size = count.size - count.leaving + coming;
-        let wanted = ceil(lasting / self.policy.target);
+        let wanted = ceil(lasting / self.policy.full);
         let full = lasting > self.policy.full * f64::from(size);
         let lacks = if full { wanted.saturating_sub(size) } else { 0 };
         let kept = ceil(high / self.policy.given).max(count.promised + count.max_unavailable);
@@ -230,6 +262,17 @@
     }
 }
 
+fn request(vm: &VmId, target: &str, reason: CompactString) -> Request {
+    Request {
+        author: CompactString::const_new("balancer"),
+        reason,
+        change: Change::Cordon {
+            vm: vm.clone(),
+            target: Some(target.into()),
+        },
+    }
+}
+
 /// Returns the pool with the most to give and the one that lacks the most.
 fn best_pair(sides: &[Side]) -> Option<(usize, usize)> {
     let to = (0..sides.len())
@@ -263,6 +306,6 @@
 }
 
 fn ceil(value: f64) -> u32 {
-    // The allowance keeps 0.85 / 0.85 at 1 VM.
+    // The allowance keeps 0.9 / 0.9 at 1 VM.
     (value - 1e-9).ceil().max(0.0) as u32
 }
