--- a/crates/cli/src/measure/jobs.rs
+++ b/crates/cli/src/measure/jobs.rs
@@ -35,6 +35,7 @@
 pub(crate) struct Figures {
     urgent: Vec<Time>,
     utilisation: f64,
+    reserved: f64,
     longest: Time,
     wasted: f64,
     exhausted: f64,
@@ -72,7 +73,10 @@
     }
     let fcfs = |row: Row, value: f64| row.baseline("fcfs", value);
     let used = Row::new("processors in use", "%", 100.0 * ours.utilisation);
-    push(fcfs(used, 100.0 * first.utilisation).bound(100.0));
+    let most = 100.0 * load.most(plans.iter(), SPAN);
+    push(fcfs(used, 100.0 * first.utilisation).bound(most));
+    let held = Row::new("scarcest resource reserved", "%", 100.0 * ours.reserved);
+    push(held.bound(100.0));
     let longest = Row::new(
         "longest wait, least urgent",
         "s",
@@ -110,6 +114,7 @@
     let mut world = World::new(&load.fleet, &load.pool, 1, seed);
     let origin = world.now;
     let mut used = 0.0;
+    let mut reserved = 0.0;
     let mut plans_left = plans.iter().peekable();
     let steps = SPAN.as_millis() / 100;
     for step in 0..steps {
@@ -120,6 +125,7 @@
         }
         world.run((origin + now + Duration::from_millis(100)).saturating_sub(world.now));
         used += busy(&world, load);
+        reserved += held(&world);
     }
     let waited = |plan: &Plan| {
         let first = world.stats.first.get(plan.job.id.as_str());
@@ -131,6 +137,7 @@
     let figures = Figures {
         urgent: urgent(plans).map(waited).collect(),
         utilisation: used / steps as f64,
+        reserved: reserved / steps as f64,
         longest: idle(plans).map(waited).max().unwrap_or_default(),
         wasted: stats.wasted / all.max(1.0),
         exhausted: stats.exhausted / all.max(1.0),
@@ -160,6 +167,15 @@
     (used as f64 / (1_000.0 * cores)).min(1.0)
 }
 
+/// Reserved share of the resource that is reserved most.
+fn held(world: &World) -> f64 {
+    let (total, used) = world.scheduler().load();
+    let share = |used: i32, total: i32| f64::from(used) / f64::from(total.max(1));
+    share(used.cpu, total.cpu)
+        .max(share(used.mem, total.mem))
+        .max(share(used.acc, total.acc))
+}
+
 fn urgent(plans: &[Plan]) -> impl Iterator<Item = &Plan> {
     plans.iter().filter(|plan| plan.job.priority == 0)
 }
@@ -181,6 +197,30 @@
 }
 
 impl Load {
+    /// Share of the processors that the jobs could use at most, as their memory,
+    /// their accelerators or their number is the limit.
+    fn most<'a>(&self, plans: impl Iterator<Item = &'a Plan>, span: Time) -> f64 {
+        let vms = || {
+            self.fleet
+                .inventory
+                .iter()
+                .filter(|vm| vm.pool == self.pool)
+        };
+        let memory: f64 = vms().map(|vm| vm.memory_mb as f64).sum();
+        let devices: f64 = vms().map(|vm| f64::from(vm.accelerators)).sum();
+        let mut need = [0.0; 3];
+        for plan in plans {
+            let (time, peak) = (plan.truth.run.as_secs_f64(), plan.truth.peak);
+            need[0] += time * f64::from(peak.millicores) / 1_000.0 / self.cores(&self.fleet);
+            need[1] += time * peak.memory_mb as f64 / memory;
+            need[2] += time * f64::from(peak.accelerators) / devices.max(1.0);
+        }
+        let limit = need
+            .iter()
+            .fold(span.as_secs_f64(), |most, need| most.max(*need));
+        need[0] / limit
+    }
+
     fn cores(&self, fleet: &Fleet) -> f64 {
         let vms = fleet.inventory.iter().filter(|vm| vm.pool == self.pool);
         vms.map(|vm| f64::from(vm.cores)).sum()
--- a/crates/cli/src/measure/jobs/baseline.rs
+++ b/crates/cli/src/measure/jobs/baseline.rs
@@ -90,6 +90,7 @@
         urgent: of(0).map(waited).collect(),
         utilisation: used / steps,
         longest: of(3).map(waited).max().unwrap_or_default(),
+        reserved: f64::NAN,
         wasted: 0.0,
         exhausted: pool.lost / (pool.worked + pool.lost).max(1.0),
     }
