Keep workers clearable for urgent work

Urgent jobs with far too large declarations waited up to 22 s on pools of 12 workers: tasks that are not idempotent were on every worker, so that no worker could be cleared, and urgent work beyond its team's quota could not preempt at all. Work that cannot be moved now goes to the last workers of each zone, urgent work preempts less urgent borrowed work, and only urgent work uses a worker that is kept for a job that waits too long.

--- a/crates/wigeonhinge/src/place.rs
+++ b/crates/wigeonhinge/src/place.rs
@@ -47,7 +47,7 @@
     tree: Tree,
     held: BTreeMap<JobId, Held>,
     groups: BTreeMap<String, BTreeSet<(usize, JobId)>>,
-    claims: BTreeMap<usize, (JobId, usize)>,
+    claims: BTreeMap<usize, JobId>,
 }
 
 #[derive(Clone, Debug)]
@@ -204,7 +204,7 @@
         }
         self.held.insert(job.clone(), held);
         self.workers[at].jobs.insert(job.clone());
-        self.claims.retain(|_, (claimant, _)| claimant != job);
+        self.claims.retain(|_, claimant| claimant != job);
         self.refresh(at);
     }
 
@@ -280,8 +280,8 @@
         self.held.get(job).map(|held| held.size)
     }
 
-    /// Keeps a worker for a job that waits too long, against all work at its
-    /// level or less urgent. Chooses the worker with the most free capacity.
+    /// Keeps a worker for a job that waits too long, against all but the most
+    /// urgent work. Chooses the worker with the most free capacity.
     pub fn claim(&mut self, job: &JobId, request: &Request) -> bool {
         let claimed = |at: &usize| self.claims.contains_key(at);
         let best = (0..self.workers.len())
@@ -295,19 +295,19 @@
                 (free.min(request.size).mem, free.cpu)
             });
         if let Some(at) = best {
-            self.claims.insert(at, (job.clone(), request.level));
+            self.claims.insert(at, job.clone());
         }
         best.is_some()
     }
 
     /// Ends the claim of a job.
     pub fn unclaim(&mut self, job: &str) {
-        self.claims.retain(|_, (claimant, _)| claimant != job);
+        self.claims.retain(|_, claimant| claimant != job);
     }
 
     /// Whether a job has a claim on a worker.
     pub fn claims(&self, job: &str) -> bool {
-        self.claims.values().any(|(claimant, _)| claimant == job)
+        self.claims.values().any(|claimant| claimant == job)
     }
 
     /// Adds the racks of workers that a job failed on, as failures within a rack
--- a/crates/wigeonhinge/src/place/choose.rs
+++ b/crates/wigeonhinge/src/place/choose.rs
@@ -12,7 +12,9 @@
 use crate::place::Zone;
 use crate::place::cap::Cap;
 use crate::place::kept;
+use crate::place::level;
 use crate::place::tree::LEVELS;
+use crate::place::tree::Want;
 
 /// Workers that are compared for the least wasted work.
 const COMPARED: usize = 8;
@@ -38,6 +40,18 @@
     pub seed: u64,
 }
 
+impl Request {
+    /// Work that cannot be moved goes to the last workers of a zone and all other
+    /// work to the first, so that some workers can always be cleared entirely.
+    fn want(&self, level: usize) -> Want {
+        Want {
+            level,
+            need: self.size,
+            last: !self.movable,
+        }
+    }
+}
+
 /// A task that makes room.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Victim {
@@ -92,7 +106,7 @@
     fn first(&self, job: &str, request: &Request, level: usize) -> Option<usize> {
         let mut found = None;
         for span in self.spans(request) {
-            let hit = self.tree.search(span, level, request.size, &mut |at| {
+            let hit = self.tree.search(span, request.want(level), &mut |at| {
                 let open = self.open(at, job, request);
                 found = open.then_some(at);
                 open
@@ -108,7 +122,7 @@
         let mut best: Option<(i64, usize, Vec<Victim>)> = None;
         let mut compared = 0;
         for span in self.spans(request) {
-            let full = self.tree.search(span, level, request.size, &mut |at| {
+            let full = self.tree.search(span, request.want(level), &mut |at| {
                 if !self.open(at, job, request) {
                     return false;
                 }
@@ -185,7 +199,8 @@
 
     fn open(&self, at: usize, job: &str, request: &Request) -> bool {
         let claimed = self.claims.get(&at);
-        let kept = claimed.is_some_and(|(other, level)| other != job && *level <= request.level);
+        let urgent = level(0, false) == request.level;
+        let kept = claimed.is_some_and(|other| other != job && !urgent);
         !kept && !request.avoid.contains(&self.workers[at].name)
     }
 
--- a/crates/wigeonhinge/src/place/tree.rs
+++ b/crates/wigeonhinge/src/place/tree.rs
@@ -12,6 +12,17 @@
 /// above; the last entry is what is free.
 pub(crate) type Offer = [Cap; LEVELS + 1];
 
+/// What a search asks for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Want {
+    /// Level from which on work may be preempted; [`LEVELS`] for none.
+    pub(crate) level: usize,
+    /// Size that has to fit.
+    pub(crate) need: Cap,
+    /// Whether the last workers come first.
+    pub(crate) last: bool,
+}
+
 /// Tournament tree over the offers of the workers: a search visits only the
 /// parts whose greatest offer fits.
 #[derive(Clone, Debug)]
@@ -43,16 +54,15 @@
         }
     }
 
-    /// Calls `visit` for each worker of the range, in order, whose offer at the
-    /// level fits, until it returns `true`.
+    /// Calls `visit` for each worker of the range whose offer fits, in the
+    /// order asked for, until it returns `true`.
     pub(crate) fn search(
         &self,
         range: Range<usize>,
-        level: usize,
-        need: Cap,
+        want: Want,
         visit: &mut dyn FnMut(usize) -> bool,
     ) -> bool {
-        self.descend(1, 0..self.leaves, &range, (level, need), visit)
+        self.descend(1, 0..self.leaves, &range, want, visit)
     }
 
     fn descend(
@@ -60,19 +70,26 @@
         node: usize,
         span: Range<usize>,
         range: &Range<usize>,
-        want: (usize, Cap),
+        want: Want,
         visit: &mut dyn FnMut(usize) -> bool,
     ) -> bool {
         let apart = span.end <= range.start || range.end <= span.start;
-        if apart || !want.1.fits(self.nodes[node][want.0]) {
+        if apart || !want.need.fits(self.nodes[node][want.level]) {
             return false;
         }
         if span.len() == 1 {
             return visit(span.start);
         }
         let middle = span.start + span.len() / 2;
-        self.descend(2 * node, span.start..middle, range, want, visit)
-            || self.descend(2 * node + 1, middle..span.end, range, want, visit)
+        let mut halves = [
+            (2 * node, span.start..middle),
+            (2 * node + 1, middle..span.end),
+        ];
+        if want.last {
+            halves.reverse();
+        }
+        let mut halves = halves.into_iter();
+        halves.any(|(node, span)| self.descend(node, span, range, want, visit))
     }
 
     pub(crate) fn bytes(&self) -> usize {
--- a/crates/wigeonhinge/src/scheduler/pass.rs
+++ b/crates/wigeonhinge/src/scheduler/pass.rs
@@ -156,7 +156,8 @@
             zone: job.zone.clone(),
             group: job.group.clone(),
             movable: job.idempotent,
-            preempt: owned && (job.priority == 0 || long),
+            // Beyond its quota, urgent work preempts only what is borrowed too.
+            preempt: job.priority == 0 || owned && long,
             avoid,
             seed: seed(id),
         }
