Learn sizes from three ended jobs with a wide margin

A class that declares eight times its size rarely runs, so that it took long to collect eight samples, and an urgent job of it asked for a whole worker. Three samples now count, with a margin of 50% until there are eight.

--- a/crates/wigeonhinge/src/usage.rs
+++ b/crates/wigeonhinge/src/usage.rs
@@ -6,7 +6,13 @@
 use wigeonhinge_schema::jobs::Size;
 
 /// Ended jobs of a class before its learned size replaces declared ones.
-pub const MIN_SAMPLES: u32 = 8;
+pub const MIN_SAMPLES: u32 = 3;
+
+/// Ended jobs of a class from which on the margin is [`MARGIN`].
+pub const FULL_SAMPLES: u32 = 8;
+
+/// Safety margin on sizes learned from few jobs, in percent.
+pub const WIDE_MARGIN: u64 = 50;
 
 /// Share of a class's jobs, in percent, whose use the learned size covers.
 pub const PERCENTILE: u32 = 95;
@@ -79,10 +85,14 @@
         if entry.cpu.total < MIN_SAMPLES {
             return declared;
         }
-        let cpu = with_margin(entry.cpu.percentile());
+        let margin = match entry.cpu.total {
+            ..FULL_SAMPLES => WIDE_MARGIN,
+            _ => MARGIN,
+        };
+        let cpu = with_margin(entry.cpu.percentile(), margin);
         Size {
             millicores: u32::try_from(cpu).unwrap_or(u32::MAX),
-            memory_mb: with_margin(entry.mem.percentile()),
+            memory_mb: with_margin(entry.mem.percentile(), margin),
             accelerators: declared.accelerators,
         }
     }
@@ -126,8 +136,8 @@
     }
 }
 
-fn with_margin(value: u64) -> u64 {
-    value + (value * MARGIN).div_ceil(100)
+fn with_margin(value: u64, margin: u64) -> u64 {
+    value + (value * margin).div_ceil(100)
 }
 
 /// Bucket of a value: the integer part of `STEPS * log2(value)`.
