--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+pub mod capacity;
 pub(crate) mod command;
 pub mod jobs;
 pub mod overhead;
--- a/crates/cli/src/measure/command.rs
+++ b/crates/cli/src/measure/command.rs
@@ -2,6 +2,7 @@
 
 use crate::exit::Exit;
 use crate::measure::Report;
+use crate::measure::capacity;
 use crate::measure::jobs;
 use crate::measure::save;
 use crate::options::MeasureOptions;
@@ -44,6 +45,7 @@
 /// Runs a measurement; `None` when no measurement has the name.
 fn measure(name: &str, seed: u64, owner: Owner) -> Option<Report> {
     match name {
+        "capacity" => Some(capacity::run(seed, owner)),
         "jobs" => Some(jobs::run(seed, owner)),
         _ => None,
     }
