Learn sizes more finely and keep fixed work on two in five workers

Learned sizes were rounded up by up to 9% and carried a margin of 15%, and 95% of the scarcest resource was reserved while 54% of the processors were in use. Buckets are now half as wide and the margin is 10%. Without further change this left urgent jobs that declare a whole worker waiting up to 13.8 s on a pool of 12 workers, so work that cannot be moved now uses two in five workers of a zone unless it is urgent or has waited 30 s.

--- a/crates/wigeonhinge/src/place/choose.rs
+++ b/crates/wigeonhinge/src/place/choose.rs
@@ -32,6 +32,8 @@
     pub group: String,
     /// Whether it may be stopped and started again.
     pub movable: bool,
+    /// Whether it may use every worker although it cannot be moved.
+    pub anywhere: bool,
     /// Whether it may preempt less urgent levels.
     pub preempt: bool,
     /// Workers that it failed on.
@@ -41,8 +43,8 @@
 }
 
 impl Request {
-    /// Work that cannot be moved goes to the last workers of a zone and all other
-    /// work to the first, so that some workers can always be cleared entirely.
+    /// Work that cannot be moved goes to the last workers of a zone, elsewhere
+    /// only when it is urgent or waits long, and all other work to the first, so that some workers can always be cleared entirely.
     fn want(&self, level: usize) -> Want {
         Want {
             level,
@@ -223,10 +225,13 @@
             .collect();
         zones.sort_by_key(|(dear, count, turn, _)| (*dear, *count, *turn));
         if members.is_none() {
-            return zones
-                .into_iter()
-                .map(|(.., zone)| zone.span.clone())
-                .collect();
+            let spans = zones.iter().map(|(.., zone)| zone.span.clone());
+            if request.movable {
+                return spans.collect();
+            }
+            let fixed = zones.iter().map(|(.., zone)| zone.fixed());
+            let spans = spans.filter(|_| request.anywhere);
+            return fixed.chain(spans).collect();
         }
         zones
             .into_iter()
@@ -239,6 +244,13 @@
     }
 }
 
+impl Zone {
+    /// Workers for work that cannot be moved: the last ones, two in five.
+    fn fixed(&self) -> Range<usize> {
+        self.span.end - (self.span.len() * 2).div_ceil(5)..self.span.end
+    }
+}
+
 /// Drops chosen tasks that turned out not to be needed, the most wasteful first.
 fn spare(chosen: &mut BTreeMap<&JobId, (&Held, bool)>, mut free: Cap, need: Cap) {
     let mut order: Vec<(&JobId, Cap, i64)> = chosen
--- a/crates/wigeonhinge/src/scheduler/pass.rs
+++ b/crates/wigeonhinge/src/scheduler/pass.rs
@@ -156,6 +156,7 @@
             zone: job.zone.clone(),
             group: job.group.clone(),
             movable: job.idempotent,
+            anywhere: job.priority == 0 || u128::from(waited) >= CLAIM_WAIT.as_millis(),
             // Beyond its quota, urgent work preempts only what is borrowed too.
             preempt: job.priority == 0 || owned && long,
             avoid,
--- a/crates/wigeonhinge/src/usage.rs
+++ b/crates/wigeonhinge/src/usage.rs
@@ -18,7 +18,7 @@
 pub const PERCENTILE: u32 = 95;
 
 /// Safety margin on learned sizes, in percent.
-pub const MARGIN: u64 = 15;
+pub const MARGIN: u64 = 10;
 
 /// Classes that are remembered; keeps the learned sizes under 1 MB.
 pub const MAX_CLASSES: usize = 1_000;
@@ -28,7 +28,7 @@
 const MAX_SAMPLES: u32 = 512;
 
 /// Buckets per doubling of the size.
-const STEPS: u32 = 8;
+const STEPS: u32 = 16;
 
 /// Learned sizes.
 ///
