--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 pub mod buffer;
+pub mod capacity;
 pub(crate) mod command;
 mod fleets;
 pub mod jobs;
--- a/crates/wigeonhinge/src/place/choose.rs
+++ b/crates/wigeonhinge/src/place/choose.rs
@@ -12,7 +12,9 @@
 use crate::place::Zone;
 use crate::place::cap::Cap;
 use crate::place::kept;
+use crate::place::level;
 use crate::place::tree::LEVELS;
+use crate::place::tree::Want;
 
 /// Workers that are compared for the least wasted work.
 const COMPARED: usize = 8;
@@ -30,6 +32,8 @@
     pub group: String,
     /// Whether it may be stopped and started again.
     pub movable: bool,
+    /// Whether it may use every worker although it cannot be moved.
+    pub anywhere: bool,
     /// Whether it may preempt less urgent levels.
     pub preempt: bool,
     /// Workers that it failed on.
@@ -38,6 +42,18 @@
     pub seed: u64,
 }
 
+impl Request {
+    /// Work that cannot be moved goes to the last workers of a zone, elsewhere
+    /// only when it is urgent or waits long, and all other work to the first, so that some workers can always be cleared entirely.
+    fn want(&self, level: usize) -> Want {
+        Want {
+            level,
+            need: self.size,
+            last: !self.movable,
+        }
+    }
+}
+
 /// A task that makes room.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Victim {
@@ -92,7 +108,7 @@
     fn first(&self, job: &str, request: &Request, level: usize) -> Option<usize> {
         let mut found = None;
         for span in self.spans(request) {
-            let hit = self.tree.search(span, level, request.size, &mut |at| {
+            let hit = self.tree.search(span, request.want(level), &mut |at| {
                 let open = self.open(at, job, request);
                 found = open.then_some(at);
                 open
@@ -108,7 +124,7 @@
         let mut best: Option<(i64, usize, Vec<Victim>)> = None;
         let mut compared = 0;
         for span in self.spans(request) {
-            let full = self.tree.search(span, level, request.size, &mut |at| {
+            let full = self.tree.search(span, request.want(level), &mut |at| {
                 if !self.open(at, job, request) {
                     return false;
                 }
@@ -185,7 +201,8 @@
 
     fn open(&self, at: usize, job: &str, request: &Request) -> bool {
         let claimed = self.claims.get(&at);
-        let kept = claimed.is_some_and(|(other, level)| other != job && *level <= request.level);
+        let urgent = level(0, false) == request.level;
+        let kept = claimed.is_some_and(|other| other != job && !urgent);
         !kept && !request.avoid.contains(&self.workers[at].name)
     }
 
@@ -208,10 +225,13 @@
             .collect();
         zones.sort_by_key(|(dear, count, turn, _)| (*dear, *count, *turn));
         if members.is_none() {
-            return zones
-                .into_iter()
-                .map(|(.., zone)| zone.span.clone())
-                .collect();
+            let spans = zones.iter().map(|(.., zone)| zone.span.clone());
+            if request.movable {
+                return spans.collect();
+            }
+            let fixed = zones.iter().map(|(.., zone)| zone.fixed());
+            let spans = spans.filter(|_| request.anywhere);
+            return fixed.chain(spans).collect();
         }
         zones
             .into_iter()
@@ -224,6 +244,13 @@
     }
 }
 
+impl Zone {
+    /// Workers for work that cannot be moved: the last ones, two in five.
+    fn fixed(&self) -> Range<usize> {
+        self.span.end - (self.span.len() * 2).div_ceil(5)..self.span.end
+    }
+}
+
 /// Drops chosen tasks that turned out not to be needed, the most wasteful first.
 fn spare(chosen: &mut BTreeMap<&JobId, (&Held, bool)>, mut free: Cap, need: Cap) {
     let mut order: Vec<(&JobId, Cap, i64)> = chosen
