Count only heartbeats sent after a pause as a sign of the present

An entry that was paused may read heartbeats that waited in its socket. They ended the time without slots although the peers had taken over the share.

--- a/crates/daemon/tests/plane.rs
+++ b/crates/daemon/tests/plane.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use wigeonhinge_schema::audit::Log;
+use wigeonhinge_schema::peer::Offer;
 use wigeonhinge_standin::platform::Mode;
 use wigeonhinge_standin::vms;
 use wigeonhinged::plane::Message;
+use wigeonhinged::plane::Request;
 
 use crate::net::Net;
 use crate::net::Node;
@@ -259,6 +261,35 @@
     within(Duration::from_secs(4), "roles", || roles(&nodes).len() == 2);
 }
 
+/// Guards against loans that get lost between the entries.
+#[test]
+fn loans_pass() {
+    let net = Net::new(&["a", "a"]);
+    let nodes = running(&net);
+    let ask = nodes[0].plane.requests();
+    let (to, from) = (nodes[1].name(), nodes[0].name());
+    let offer = Offer {
+        upstream: "up".to_owned(),
+        slots: 2,
+    };
+    ask.send(Request::Offers(vec![offer])).expect("offers");
+    let borrow = Request::Borrow(to.clone(), "up".into(), 3);
+    ask.send(borrow).expect("borrow");
+    let loan = Request::Loan(to.clone(), "up".into(), 3, 9);
+    ask.send(loan).expect("loan");
+    ask.send(Request::Return(to, 9)).expect("return");
+    let mut told = Vec::new();
+    within(IN_FORCE, "messages", || {
+        told.extend(nodes[1].messages.drain());
+        let has = |wanted: &dyn Fn(&Message) -> bool| told.iter().any(wanted);
+        has(
+            &|message| matches!(message, Message::Offers(entry, offers) if *entry == from && offers["up"] == 2),
+        ) && has(&|message| matches!(message, Message::Borrow(entry, _, 3) if *entry == from))
+            && has(&|message| matches!(message, Message::Loan(entry, _, 3, 9) if *entry == from))
+            && has(&|message| matches!(message, Message::Return(entry, 9) if *entry == from))
+    });
+}
+
 /// Guards against leaving VMs that only the entry that reads the VM list knows.
 #[test]
 fn leaving_spread() {
--- a/crates/wigeonhinge/src/membership.rs
+++ b/crates/wigeonhinge/src/membership.rs
@@ -42,8 +42,15 @@
     zone: ZoneId,
     members: BTreeMap<EntryId, Member>,
     now: Time,
-    /// End of the time in which this entry uses no slots after its start or a pause.
-    hold: Option<Time>,
+    /// Set while this entry uses no slots after its start or a pause.
+    hold: Option<Hold>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Hold {
+    /// A heartbeat that is read before may have waited since before the pause.
+    fresh: Time,
+    end: Time,
 }
 
 /// Health of a member.
@@ -83,7 +90,7 @@
             zone,
             members: BTreeMap::new(),
             now,
-            hold: Some(now + REDISTRIBUTE),
+            hold: Some(Hold::new(now)),
         }
     }
 
@@ -99,7 +106,8 @@
                 return false;
             }
         }
-        if zone == self.zone && now.saturating_sub(self.now) <= GAP {
+        let fresh = self.hold.is_some_and(|hold| hold.fresh <= now);
+        if fresh && zone == self.zone && now.saturating_sub(self.now) <= GAP {
             self.hold = None;
         }
         let member = Member {
@@ -131,13 +139,13 @@
         self.now = now;
         if gap > GAP {
             changes.push(Change::Paused(gap));
-            self.hold = Some(now + REDISTRIBUTE);
+            self.hold = Some(Hold::new(now));
             let floor = now.saturating_sub(SUSPECT);
             for member in self.members.values_mut() {
                 member.heard = member.heard.max(floor);
             }
         }
-        if self.hold.is_some_and(|end| end <= now) {
+        if self.hold.is_some_and(|hold| hold.end <= now) {
             self.hold = None;
         }
         for (entry, member) in &mut self.members {
@@ -182,6 +190,8 @@
     ///
     /// After its start or a pause it may not, until it has heard from a peer of
     /// its zone or [`REDISTRIBUTE`] has passed: its share may be in use elsewhere.
+    /// Only a heartbeat read at least [`HEARTBEAT`] later counts, because one that
+    /// waited to be read during the pause says nothing about the present.
     pub fn usable(&self, now: Time) -> bool {
         self.hold.is_none() && now.saturating_sub(self.now) <= GAP
     }
@@ -196,6 +206,15 @@
     }
 }
 
+impl Hold {
+    fn new(now: Time) -> Self {
+        Self {
+            fresh: now + HEARTBEAT,
+            end: now + REDISTRIBUTE,
+        }
+    }
+}
+
 impl Member {
     fn health(&self, now: Time) -> Health {
         let silence = now.saturating_sub(self.heard);
--- a/crates/wigeonhinge/tests/membership.rs
+++ b/crates/wigeonhinge/tests/membership.rs
@@ -62,7 +62,12 @@
     assert!(!members.usable(ms(9_000)));
     assert_eq!(members.health(&"b".into()), Some(Health::Suspect));
     members.heard("b".into(), "north".into(), 5, ms(9_100));
-    assert!(members.usable(ms(9_100)));
+    assert!(
+        !members.usable(ms(9_100)),
+        "heartbeat from before the pause"
+    );
+    members.heard("b".into(), "north".into(), 5, ms(9_300));
+    assert!(members.usable(ms(9_300)));
 }
 
 /// Guards against an entry without peers that never uses its slots.
