--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -7,6 +7,7 @@
 pub(crate) mod command;
 pub mod jobs;
 pub mod overhead;
+pub mod decisions;
 pub mod floods;
 mod plot;
 pub mod world;
