--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -5,10 +5,10 @@
 use serde::Serialize;
 
 pub(crate) mod command;
-pub mod jobs;
-pub mod overhead;
 pub mod decisions;
 pub mod floods;
+pub mod jobs;
+pub mod overhead;
 mod plot;
 pub mod world;
 
