Decide on a region only after every worker was asked for a report

A new holder of the fleet role knows no reports. It took the workers that it had not asked yet for failed ones: the demonstration saw 55 looks with more VMs out of service than the budget allows, all at the start.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -120,6 +120,7 @@
         "revision 1 is in force everywhere after {:.2} s",
         in_force.as_secs_f64()
     ));
+    within(PATIENCE, "not every VM is in service", || site.in_service())?;
     let watch = Watch::spawn(&site);
     let load = spawn_load(&site, seed);
     thread::sleep(PHASE);
--- a/crates/cli/src/demo/site.rs
+++ b/crates/cli/src/demo/site.rs
@@ -10,6 +10,7 @@
 use wigeonhinge_schema::fleet::Fleet;
 use wigeonhinge_schema::jobs::Job;
 use wigeonhinge_schema::ledger;
+use wigeonhinge_schema::ledger::Phase;
 use wigeonhinge_schema::settings;
 use wigeonhinge_standin::caller::Balancer;
 use wigeonhinge_standin::platform::Platform;
@@ -108,6 +109,14 @@
         Some((version, Ledger::from_document(document)))
     }
 
+    /// Returns whether every VM of the fleet is in service.
+    pub(super) fn in_service(&self) -> bool {
+        self.ledger().is_some_and(|(_, ledger)| {
+            let active = ledger.vms().iter().filter(|vm| vm.phase() == Phase::Active);
+            active.count() == self.fleet.inventory.len()
+        })
+    }
+
     /// Writes the ledger if it still has a version.
     pub(super) fn put_ledger(&self, version: u64, ledger: &Ledger) -> bool {
         let Ok(value) = serde_json::to_value(ledger.document()) else {
--- a/crates/daemon/src/controllers/fleet.rs
+++ b/crates/daemon/src/controllers/fleet.rs
@@ -73,6 +73,8 @@
     list: VmList,
     workers: BTreeMap<VmId, Worker>,
     polled: BTreeMap<VmId, Time>,
+    /// Workers whose reports were asked for, with or without an answer.
+    asked: BTreeSet<VmId>,
     /// VMs out of service that still have requests, by any entry's word.
     serving: BTreeSet<VmId>,
     /// Since when each VM is out of service, as this controller saw it.
@@ -90,7 +92,7 @@
     Write(Box<controller::Write>),
     Versions,
     Vms,
-    Reports(Time),
+    Reports(Time, Vec<VmId>),
     Command,
     Trail(trail::Step),
 }
@@ -112,6 +114,7 @@
             list: VmList::default(),
             workers: BTreeMap::new(),
             polled: BTreeMap::new(),
+            asked: BTreeSet::new(),
             serving: BTreeSet::new(),
             since: BTreeMap::new(),
             orders: Orders::new(),
@@ -171,7 +174,9 @@
             return;
         };
         let ledger = match &self.ledger {
-            Some((version, ledger)) if !self.busy => Some((*version, ledger)),
+            Some((version, ledger)) if !self.busy && self.informed(ledger) => {
+                Some((*version, ledger))
+            }
             _ => None,
         };
         let output = self.controller.step(&Facts {
@@ -198,6 +203,17 @@
         }
     }
 
+    /// Returns whether every worker of the ledger was asked for a report.
+    ///
+    /// A new holder of the role has no reports yet; without this it would take
+    /// the workers that it has not asked for failed ones.
+    fn informed(&self, ledger: &Ledger) -> bool {
+        ledger
+            .vms()
+            .iter()
+            .all(|vm| self.asked.contains(vm.name.as_str()))
+    }
+
     /// Reads the reports of the workers that are due.
     fn poll(&mut self, now: Time) {
         let Some((_, ledger)) = &self.ledger else {
@@ -222,8 +238,8 @@
         }
         self.polled
             .extend(vms.iter().map(|name| (name.clone(), now)));
-        self.orders
-            .give(Order::Workers(vms), Purpose::Reports(unix()), now);
+        let purpose = Purpose::Reports(unix(), vms.clone());
+        self.orders.give(Order::Workers(vms), purpose, now);
     }
 
     fn done(&mut self, purpose: Purpose, outcome: Option<Outcome>, now: Time) {
@@ -252,7 +268,8 @@
                     self.list = read_list(&list);
                 }
             }
-            Purpose::Reports(at) => {
+            Purpose::Reports(at, vms) => {
+                self.asked.extend(vms);
                 if let Some(Outcome::Workers(reports)) = outcome {
                     self.reports(&reports, at, now);
                 }
