--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -4,12 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use compio::runtime::Runtime;
 use eyre::Result;
 use eyre::WrapErr;
-use eyre::bail;
 use serde::Serialize;
-use wigeonhinge::config::Edit;
 use wigeonhinge::ledger::Change;
 use wigeonhinge::ledger::Ledger;
 use wigeonhinge::ledger::WaveChange;
@@ -20,19 +17,15 @@
 use wigeonhinge_standin::caller;
 use wigeonhinge_standin::caller::Record;
 use wigeonhinge_standin::caller::Stream;
-use wigeonhinged::platform::HttpPlatform;
 
-use crate::demo::site::Site;
-use crate::demo::watch::Findings;
-use crate::demo::watch::Watch;
 use crate::exit::Exit;
 use crate::options::DemoOptions;
 use crate::owner::Owner;
+use crate::site::Findings;
+use crate::site::Site;
+use crate::site::Watch;
+use crate::site::within;
 use crate::submit;
-use crate::submit::Outcome;
-
-mod site;
-mod watch;
 
 /// Requests a second of a service, on average.
 const RATE: f64 = 60.0;
@@ -152,28 +145,10 @@
     Ok(summary)
 }
 
-/// Applies the fleet as an operator would, and returns the time until it is in
-/// force on every entry.
+/// Applies the fleet and returns the time until it is in force on every entry.
 fn apply(site: &Site, id: &str, base: u64) -> Result<Duration> {
-    let mut fleet = site.fleet.clone();
-    if let Some(rules) = &mut fleet.rules {
-        rules.maintenance_days += u32::try_from(base)?;
-    }
-    let edit = Edit {
-        id: id.into(),
-        base,
-        author: "demo".into(),
-        reason: "demonstration".into(),
-        fleet,
-    };
-    let outcome = Runtime::new()?.block_on(async {
-        let platform = HttpPlatform::new(&site.platform.base(), "demo")?;
-        eyre::Ok(submit::submit(&platform, &edit, IN_FORCE).await)
-    })?;
+    site.apply(id, base)?;
     let start = Instant::now();
-    if outcome != Outcome::Accepted(base + 1) {
-        bail!("the edit was not accepted: {outcome:?}");
-    }
     within(PATIENCE, "the revision is not in force", || {
         site.in_force(base + 1)
     })?;
@@ -381,18 +356,6 @@
     least
 }
 
-/// Waits until a condition holds.
-fn within(limit: Duration, failure: &str, mut holds: impl FnMut() -> bool) -> Result<()> {
-    let end = Instant::now() + limit;
-    while !holds() {
-        if Instant::now() >= end {
-            bail!("{failure} after {} s", limit.as_secs());
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-    Ok(())
-}
-
 fn print(summary: &Summary) {
     let Summary {
         requests,
@@ -426,13 +389,3 @@
         }
     );
 }
-
-/// Reads a text answer of an entry.
-fn text(answer: &caller::Answer) -> String {
-    String::from_utf8_lossy(&answer.body).into_owned()
-}
-
-/// Sends a request to an entry's admin port.
-fn ask(admin: std::net::SocketAddr, request: &str) -> Result<caller::Answer> {
-    caller::send(admin, request.as_bytes(), Duration::from_secs(6)).wrap_err("admin port")
-}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod measure;
 pub mod options;
 pub mod owner;
+pub mod site;
 pub mod submit;
 
 mod apply;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -40,7 +40,7 @@
     #[options(help = "start, pause, resume, abort or show the maintenance wave of a region")]
     Wave(WaveOptions),
     /// Measures a decision against its baselines and bound.
-    #[options(help = "measure waves, moves, buffer, floods, jobs, capacity or overhead")]
+    #[options(help = "measure a decision against its baselines and its bound")]
     Measure(MeasureOptions),
     /// Makes a key for an entry.
     #[options(help = "make the key of an entry and the fingerprint that its peers trust")]
@@ -256,7 +256,7 @@
     #[options(
         free,
         required,
-        help = "waves, moves, buffer, floods, jobs, capacity or overhead"
+        help = "waves, moves, buffer, floods, jobs, capacity, decisions or overhead"
     )]
     pub name: String,
 }
--- a/crates/cli/src/demo/watch.rs
+++ b/crates/cli/src/site/watch.rs
@@ -14,32 +14,33 @@
 use wigeonhinged::platform::HttpPlatform;
 use wigeonhinged::platform::Platform;
 
-use crate::demo::site::Site;
-use crate::demo::site::status;
+use crate::site::Site;
+use crate::site::status;
 
 /// Pause between two looks.
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// What the watch has found.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Findings {
+pub struct Findings {
     /// Looks at which a pool had more VMs unavailable than it may.
-    pub(super) budget_violations: usize,
+    pub budget_violations: usize,
     /// Times that an entry went back to a lower revision.
-    pub(super) config_reverts: usize,
+    pub config_reverts: usize,
     /// Times that a VM changed its pool.
-    pub(super) moves: usize,
+    pub moves: usize,
 }
 
 /// A running watch.
-pub(super) struct Watch {
+#[derive(Debug)]
+pub struct Watch {
     stop: Arc<AtomicBool>,
     thread: JoinHandle<Findings>,
 }
 
 impl Watch {
     /// Starts to watch a site.
-    pub(super) fn spawn(site: &Site) -> Self {
+    pub fn spawn(site: &Site) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let stopped = Arc::clone(&stop);
         let (base, key, admins) = (site.platform.base(), site.key(), site.admins());
@@ -48,7 +49,7 @@
     }
 
     /// Ends the watch and returns what it has found.
-    pub(super) fn stop(self) -> Findings {
+    pub fn stop(self) -> Findings {
         self.stop.store(true, Ordering::Release);
         self.thread.join().unwrap_or_default()
     }
