--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -109,6 +109,21 @@
     assert!(start.elapsed() < Duration::from_secs(2));
 }
 
+/// Guards against a draining entry that refuses requests or keeps connections open.
+#[test]
+fn stop_drains() {
+    let site = Site::with(1, |raw| raw.drain_secs = 1);
+    let address = site.daemon.address();
+    assert_eq!(site.post(SERVICE, "").header("connection"), "");
+    thread::scope(|scope| {
+        scope.spawn(|| site.daemon.stop());
+        thread::sleep(Duration::from_millis(300));
+        let answer = caller::send(address, &site::request(""), site::PATIENCE).unwrap();
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.header("connection"), "close");
+    });
+}
+
 /// Guards against an abrupt stop that waits for requests.
 #[test]
 fn stop_kill() {
