--- a/crates/wigeonhinge/src/place/choose.rs
+++ b/crates/wigeonhinge/src/place/choose.rs
@@ -44,7 +44,8 @@
 
 impl Request {
     /// Work that cannot be moved goes to the last workers of a zone, elsewhere
-    /// only when it is urgent or waits long, and all other work to the first, so that some workers can always be cleared entirely.
+    /// only when it is urgent or waits long, and all other work to the first, so
+    /// that some workers can always be cleared entirely.
     fn want(&self, level: usize) -> Want {
         Want {
             level,
