Take the refusal of a start as proof that it never ran

Workers answer a start for another incarnation with "refused". The answer carries the new incarnation, so that a job that is not idempotent ended as unknown although nothing had run (test start_refused_by_restarted_worker).

--- a/crates/cli/src/measure/world/worker.rs
+++ b/crates/cli/src/measure/world/worker.rs
@@ -79,7 +79,7 @@
         self.fence = self.fence.max(fence);
         match command {
             Command::Start { incarnation, .. } if incarnation != self.incarnation => {
-                return Reply::Restarted;
+                return Reply::Stopped { ran: false };
             }
             Command::Start { size, resume, .. } => {
                 let saved = if resume { saved } else { Time::ZERO };
--- a/crates/wigeonhinge/src/scheduler/tasks.rs
+++ b/crates/wigeonhinge/src/scheduler/tasks.rs
@@ -311,6 +311,10 @@
         }
         match reply {
             Reply::Restarted => self.requeue(id, false, now),
+            // The answer to the only start of the attempt needs no incarnation.
+            Reply::Stopped { ran: false } if matches!(command, Command::Start { .. }) => {
+                self.requeue(id, false, now);
+            }
             Reply::Running => self.runs(id, Some(command), now),
             Reply::StartFailed(reason) if matches!(command, Command::Start { .. }) => {
                 self.failed(id, false, &reason, now);
--- a/crates/wigeonhinge/tests/scheduler.rs
+++ b/crates/wigeonhinge/tests/scheduler.rs
@@ -174,6 +174,17 @@
     assert_eq!(world.stats.quarantined, ["w0"]);
 }
 
+#[test]
+fn start_refused_by_restarted_worker() {
+    // Guards against a job that ends as unknown although its start was refused.
+    let mut world = world(1, 1);
+    world.restart("w0");
+    submit(&mut world, "a", 0, false);
+    world.run(secs(30));
+    assert_eq!(world.ask("a"), Some(Answer::Done));
+    assert_eq!(world.stats.runs["a"], 1);
+}
+
 #[test]
 fn job_fails_everywhere() {
     // Guards against bad jobs that quarantine good workers.
