Wait for the addresses in the test of messages without heartbeats

The test failed once in a loaded run: an entry drops a message to a peer whose address it has not learned yet, and the test sent each only once.

--- a/crates/daemon/tests/plane.rs
+++ b/crates/daemon/tests/plane.rs
@@ -297,6 +297,8 @@
     let net = Net::new(&["a", "b", "b", "b", "b"]);
     let nodes = running(&net);
     let (first, rest) = nodes.split_at(1);
+    let known = || first[0].status().members.len() == rest.len();
+    within(IN_FORCE, "addresses", known);
     let ask = first[0].plane.requests();
     for node in rest {
         let borrow = Request::Borrow(node.name(), "up".into(), 3);
