--- a/crates/cli/src/site.rs
+++ b/crates/cli/src/site.rs
@@ -215,8 +215,16 @@
         Some((version, Ledger::from_document(document)))
     }
 
-    /// Returns whether every VM of the fleet is in service.
+    /// Returns whether every VM of the fleet is in service, and every entry knows it.
     pub fn in_service(&self) -> bool {
+        let told = |admin| {
+            status(admin)
+                .is_some_and(|status| status["leaving"].as_array().is_some_and(Vec::is_empty))
+        };
+        self.active() && self.admins().into_iter().all(told)
+    }
+
+    fn active(&self) -> bool {
         self.ledger().is_some_and(|(_, ledger)| {
             let active = ledger.vms().iter().filter(|vm| vm.phase() == Phase::Active);
             active.count() == self.fleet.inventory.len()
--- a/crates/daemon/src/controllers/jobs.rs
+++ b/crates/daemon/src/controllers/jobs.rs
@@ -541,12 +541,14 @@
 }
 
 fn report(worker: &platform::Worker) -> Report {
+    // A refused start says nothing of the attempt that the worker was asked for.
     let task = |task: &platform::Task| {
         let state = match task.state {
             TaskState::Running => scheduler::TaskState::Running,
             TaskState::Done => scheduler::TaskState::Done,
             TaskState::Failed => scheduler::TaskState::Failed("the task failed".into()),
-            TaskState::Stopped | TaskState::Refused => scheduler::TaskState::Stopped,
+            TaskState::Stopped => scheduler::TaskState::Stopped,
+            TaskState::Refused => return None,
         };
         let usage = task.usage.map_or(Size::default(), |usage| Size {
             millicores: usage.millicores,
