Write the audit records of an entry's roles and controllers through one trail

Two writers with the same logic stood side by side, each with its own copy of the ring. Controllers now hand records to the entry's trail, which writes what fits one document at once and then collects for 10 s, because a document is up to 100 KB and control may use 16 KB/s a node.

--- a/crates/daemon/src/controllers.rs
+++ b/crates/daemon/src/controllers.rs
@@ -20,7 +20,6 @@
 
 mod fleet;
 mod jobs;
-mod trail;
 
 pub use crate::controllers::fleet::Timing;
 
--- a/crates/daemon/src/controllers/fleet.rs
+++ b/crates/daemon/src/controllers/fleet.rs
@@ -22,8 +22,6 @@
 use wigeonhinge_schema::ledger::Phase;
 
 use crate::controllers::Orders;
-use crate::controllers::trail;
-use crate::controllers::trail::Trail;
 use crate::controllers::unix;
 use crate::controllers::value;
 use crate::plane::Input;
@@ -80,7 +78,6 @@
     /// Since when each VM is out of service, as this controller saw it.
     since: BTreeMap<VmId, Time>,
     orders: Orders<Purpose>,
-    trail: Trail,
     looked: Option<Time>,
     stepped: Time,
 }
@@ -94,13 +91,6 @@
     Vms,
     Reports(Time, Vec<VmId>),
     Command,
-    Trail(trail::Step),
-}
-
-impl From<trail::Step> for Purpose {
-    fn from(step: trail::Step) -> Self {
-        Self::Trail(step)
-    }
 }
 
 impl Fleet {
@@ -118,7 +108,6 @@
             serving: BTreeSet::new(),
             since: BTreeMap::new(),
             orders: Orders::new(),
-            trail: Trail::default(),
             looked: None,
             stepped: Time::ZERO,
         }
@@ -162,7 +151,6 @@
             self.stepped = now;
             self.step(lease, now);
         }
-        self.trail.tick(&mut self.orders, now);
     }
 
     /// Lets the library decide, and carries out what it decided.
@@ -275,7 +263,6 @@
                 }
             }
             Purpose::Command => {}
-            Purpose::Trail(step) => self.trail.done(step, outcome, now),
         }
     }
 
@@ -292,7 +279,7 @@
 
     fn wrote(&mut self, write: controller::Write, version: u64, now: Time) {
         self.ledger = Some((version, write.ledger));
-        self.trail.extend(write.records);
+        self.orders.tell(Order::Audit(write.records));
         self.spread(now);
     }
 
--- a/crates/daemon/src/controllers/jobs.rs
+++ b/crates/daemon/src/controllers/jobs.rs
@@ -34,8 +34,6 @@
 
 use crate::controllers::Orders;
 use crate::controllers::jobs::recovery::Recovery;
-use crate::controllers::trail;
-use crate::controllers::trail::Trail;
 use crate::controllers::unix;
 use crate::controllers::value;
 use crate::plane::Input;
@@ -72,7 +70,6 @@
     boots: BTreeMap<VmId, u64>,
     until: Option<Lease>,
     orders: Orders<Purpose>,
-    trail: Trail,
     recovery: Option<Recovery>,
     records: u64,
     polled: Option<Time>,
@@ -95,13 +92,6 @@
     Reports,
     /// Reads a ledger in which a worker is quarantined for a reason.
     Quarantine(String, VmId, String),
-    Trail(trail::Step),
-}
-
-impl From<trail::Step> for Purpose {
-    fn from(step: trail::Step) -> Self {
-        Self::Trail(step)
-    }
 }
 
 impl Jobs {
@@ -117,7 +107,6 @@
             boots: BTreeMap::new(),
             until: None,
             orders: Orders::new(),
-            trail: Trail::default(),
             recovery: None,
             records: 0,
             polled: None,
@@ -163,7 +152,6 @@
             self.orders
                 .give(Order::Workers(self.vms.clone()), Purpose::Reports, now);
         }
-        self.trail.tick(&mut self.orders, now);
     }
 
     /// Tells the scheduler which VMs the pool has and which of them are in service.
@@ -241,7 +229,8 @@
         let fence = self.until.map_or(0, |lease| lease.fence());
         let id = format!("jobs-{}-{fence}-{}", self.pool, self.records);
         let who = self.entry.to_string();
-        self.trail.extend([Record { id, who, ..record }]);
+        self.orders
+            .tell(Order::Audit(vec![Record { id, who, ..record }]));
     }
 
     fn done(&mut self, purpose: Purpose, outcome: Option<Outcome>, now: Time) {
@@ -309,7 +298,6 @@
                 }
             }
             Purpose::Removal => {}
-            Purpose::Trail(step) => self.trail.done(step, outcome, now),
         }
     }
 
--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -32,6 +32,7 @@
 use wigeonhinge::id::UpstreamId;
 use wigeonhinge::id::VmId;
 use wigeonhinge::lease::Lease;
+use wigeonhinge_schema::audit::Record;
 use wigeonhinge_schema::fleet::Config;
 use wigeonhinge_schema::jobs::Job;
 use wigeonhinge_schema::peer::Offer;
@@ -169,6 +170,8 @@
     Vms,
     /// Tell every entry what a ledger says of VMs; no call to the platform.
     Spread(RegionView),
+    /// Add records to the audit trail; no call of its own to the platform.
+    Audit(Vec<Record>),
     /// Answer a question of a submitter; no call to the platform.
     Answer(u64, JobAnswer),
 }
--- a/crates/daemon/src/plane/calls.rs
+++ b/crates/daemon/src/plane/calls.rs
@@ -153,7 +153,7 @@
                 });
                 trail::Answer::Loaded(found.ok())
             }
-            trail::Call::Write(write) => {
+            trail::Call::Write(write, _) => {
                 let put = self.platform.put(&key, &write.document, write.expect, None);
                 trail::Answer::Swapped(put.await.ok())
             }
--- a/crates/daemon/src/plane/core.rs
+++ b/crates/daemon/src/plane/core.rs
@@ -422,6 +422,11 @@
         for duty in duties {
             match duty.order {
                 Order::Spread(view) => self.learn(vec![view]),
+                Order::Audit(records) => {
+                    records
+                        .into_iter()
+                        .for_each(|record| self.trail.push(record));
+                }
                 Order::Answer(number, answer) => self.answer(number, answer),
                 _ => {
                     self.counters.orders += 1;
--- a/crates/daemon/src/plane/trail.rs
+++ b/crates/daemon/src/plane/trail.rs
@@ -1,6 +1,7 @@
 //! Writes audit records to the store, in order, as soon as it answers.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use wigeonhinge::Time;
 use wigeonhinge::audit;
@@ -15,15 +16,20 @@
 use crate::watch::RETRY;
 
 /// Records that wait for the store; older ones are dropped.
-const WAITING: usize = 256;
+const WAITING: usize = 4_096;
+
+/// Time for which records are collected after a write.
+///
+/// A document of the ring is up to 100 KB, and control may use 16 KB/s a node.
+const WINDOW: Duration = Duration::from_secs(10);
 
 /// A call to make.
 #[derive(Clone, Debug)]
 pub(crate) enum Call {
     /// Read a document of the ring.
     Load(usize),
-    /// Write a document of the ring.
-    Write(Write),
+    /// Write a document of the ring that holds this number of waiting records.
+    Write(Box<Write>, usize),
 }
 
 /// Answer to a call; `None` for every error.
@@ -48,10 +54,13 @@
 impl Trail {
     /// Queues a record.
     pub(crate) fn push(&mut self, record: Record) {
-        if self.waiting.len() == WAITING {
+        // Records that are being written stay until the answer has come.
+        if self.waiting.len() >= WAITING && !self.busy {
             self.waiting.pop_front();
         }
-        self.waiting.push_back(record);
+        if self.waiting.len() < WAITING {
+            self.waiting.push_back(record);
+        }
     }
 
     /// Returns the call to make now.
@@ -59,20 +68,42 @@
         if self.busy || self.next > now {
             return None;
         }
-        while let Some(record) = self.waiting.front() {
-            let missing = self.loaded.iter().position(|loaded| !loaded);
-            let call = match missing {
-                Some(slot) => Some(Call::Load(slot)),
-                None => self.log.push(record).map(Call::Write),
-            };
-            if call.is_some() {
-                self.busy = true;
-                return call;
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let missing = self.loaded.iter().position(|loaded| !loaded);
+        let call = match missing {
+            Some(slot) => Some(Call::Load(slot)),
+            None => self.write(),
+        };
+        self.busy = call.is_some();
+        call
+    }
+
+    /// Returns one write with as many waiting records as fit one document.
+    ///
+    /// Records that the trail holds already are dropped.
+    fn write(&mut self) -> Option<Call> {
+        let mut log = self.log.clone();
+        let mut last: Option<Write> = None;
+        let mut count = 0;
+        for record in &self.waiting {
+            if let Some(write) = log.push(record) {
+                if last.as_ref().is_some_and(|last| last.slot != write.slot) {
+                    break;
+                }
+                log.load(write.slot, write.expect, write.document.clone());
+                last = Some(write);
+            }
+            count += 1;
+        }
+        match last {
+            Some(write) => Some(Call::Write(Box::new(write), count)),
+            None => {
+                self.waiting.drain(..count);
+                None
             }
-            // The trail holds the record already.
-            self.waiting.pop_front();
         }
-        None
     }
 
     /// Takes the answer to a call.
@@ -83,12 +114,13 @@
                 self.log.load(slot, version, document);
                 self.loaded[slot] = true;
             }
-            (Call::Write(write), Answer::Swapped(Some(Swap::Done(version)))) => {
+            (Call::Write(write, count), Answer::Swapped(Some(Swap::Done(version)))) => {
                 self.log.written(&write, version);
-                self.waiting.pop_front();
+                self.waiting.drain(..count.min(self.waiting.len()));
+                self.next = now + WINDOW;
             }
             // Whatever became of the write, the document tells.
-            (Call::Write(write), answer) => {
+            (Call::Write(write, _), answer) => {
                 self.loaded[write.slot] = false;
                 if matches!(answer, Answer::Swapped(None)) {
                     self.next = now + RETRY;
@@ -103,6 +135,6 @@
 pub(crate) fn key(call: &Call) -> String {
     match call {
         Call::Load(slot) => audit::key(*slot),
-        Call::Write(write) => audit::key(write.slot),
+        Call::Write(write, _) => audit::key(write.slot),
     }
 }
