Keep one slot in twelve of the spare pool free instead of one in eight

The test compared with 95 % of that bound instead of the target. Change: one in twelve, and the test compares with the target.

--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -14,8 +14,6 @@
     for row in &report.rows {
         let (value, target) = (row.value, row.target.unwrap_or(100.0));
         let met = match row.metric.as_str() {
-            // One slot in eight of the spare pool stays free, so the bound is the measure.
-            "slots used by a flood, worst, with spare" => value >= 0.95 * row.bound.unwrap(),
             "requests of a bad upstream after 2 s" => value <= 0.1 * row.baselines[0].1,
             metric if metric.starts_with("p99") || metric.starts_with("retries") => value <= target,
             _ => value >= target,
--- a/crates/wigeonhinge/src/admit.rs
+++ b/crates/wigeonhinge/src/admit.rs
@@ -23,7 +23,7 @@
 pub const QUEUE_LIMIT: usize = 1_024;
 
 /// Of this number of slots of the spare pool, one stays free of other queues' work.
-pub const RESERVE: u32 = 8;
+pub const RESERVE: u32 = 12;
 
 /// A request that waits for a slot.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/wigeonhinge/tests/admit.rs
+++ b/crates/wigeonhinge/tests/admit.rs
@@ -77,11 +77,11 @@
     assert_eq!(order, [Some(2), Some(1), Some(3)]);
 }
 
-/// Guards against other queues in the last eighth of the spare pool, which its own queue may use.
+/// Guards against other queues in the reserved slots of the spare pool, which its own queue may use.
 #[rstest]
-#[case(1, 8)]
-#[case(2, 9)]
-#[case(3, 17)]
+#[case(1, 12)]
+#[case(2, 13)]
+#[case(3, 25)]
 fn next_spare_reserve(#[case] free: u32, #[case] total: u32) {
     let mut admission = admission();
     arrive(&mut admission, waiting(1, 0, "a")).unwrap();
