--- a/crates/daemon/src/controllers/fleet.rs
+++ b/crates/daemon/src/controllers/fleet.rs
@@ -45,7 +45,7 @@
 const LOOK: Duration = Duration::from_secs(2);
 
 /// Period of the reports of a worker that is out of service.
-const CLOSE: Duration = Duration::from_millis(500);
+const CLOSE: Duration = Duration::from_secs(2);
 
 /// Period of the reports of a worker in service.
 const WIDE: Duration = Duration::from_secs(10);
