--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -21,6 +21,7 @@
 use crate::exit::Exit;
 use crate::options::DemoOptions;
 use crate::owner::Owner;
+use crate::owner::SLOTS;
 use crate::site::Findings;
 use crate::site::Site;
 use crate::site::Watch;
@@ -66,6 +67,8 @@
     false_not_run: usize,
     budget_violations: usize,
     config_reverts: usize,
+    /// Upstreams that ran more requests at the same time than they have slots.
+    over_limit: usize,
     /// Longest time until an accepted revision was in force on every entry.
     in_force_seconds: f64,
     ok: bool,
@@ -309,6 +312,8 @@
         .collect();
     let verdict = caller::compare(records, &ledgers);
     let protection = protection(site.owner, records);
+    let slots = usize::try_from(SLOTS).unwrap_or(usize::MAX);
+    let over_limit = ledgers.iter().filter(|ledger| ledger.peak > slots).count();
     let clean = verdict.lost + verdict.duplicated + verdict.crossed + verdict.false_not_run == 0;
     let kept = findings.budget_violations + findings.config_reverts == 0;
     Summary {
@@ -322,7 +327,8 @@
         false_not_run: verdict.false_not_run,
         budget_violations: findings.budget_violations,
         config_reverts: findings.config_reverts,
-        ok: clean && kept && protection >= KEPT,
+        over_limit,
+        ok: clean && kept && over_limit == 0 && protection >= KEPT,
         ..Summary::default()
     }
 }
@@ -377,8 +383,8 @@
         summary.rollout_seconds, summary.moves, summary.buffer_cost
     );
     println!(
-        "budget violations {}, configuration reverts {}",
-        summary.budget_violations, summary.config_reverts
+        "budget violations {}, configuration reverts {}, upstreams over their limit {}",
+        summary.budget_violations, summary.config_reverts, summary.over_limit
     );
     println!(
         "{}",
