Audit a change of a wave that an operator makes

The wave command swaps the ledger itself, so that start, pause, resume and abort had no record. The fleet controller records the change when it reads the ledger again; the commands test looks for the record in the store.

--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -25,6 +25,14 @@
     ledger.wave().map(|wave| wave.state())
 }
 
+/// Returns whether the audit trail in the store holds a text.
+fn audited(site: &Site, text: &str) -> bool {
+    let state = site.platform.state();
+    let items = state.store.list("audit/");
+    let mut values = items.iter().filter_map(|(key, _)| state.store.get(key));
+    values.any(|(_, value)| value.to_string().contains(text))
+}
+
 #[test]
 fn commands_on_a_site() {
     let site = Site::open(Owner::Coastline).expect("site");
@@ -41,6 +49,10 @@
     assert_eq!(region_wave("resume"), Exit::Refused);
     assert_eq!(region_wave("start"), Exit::Done);
     assert_eq!(wave(&site), Some(WaveState::Running));
+    within(START, "no record of the wave", || {
+        audited(&site, "by an operator")
+    })
+    .expect("audit");
     assert_eq!(region_wave("pause"), Exit::Done);
     assert_eq!(wave(&site), Some(WaveState::Paused));
     assert_eq!(region_wave("resume"), Exit::Done);
--- a/crates/daemon/src/controllers/fleet.rs
+++ b/crates/daemon/src/controllers/fleet.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use wigeonhinge::Time;
+use wigeonhinge::audit::Kind;
+use wigeonhinge::audit::Record;
 use wigeonhinge::controller;
 use wigeonhinge::controller::Action;
 use wigeonhinge::controller::Controller;
@@ -20,6 +22,7 @@
 use wigeonhinge_schema::fleet::Config;
 use wigeonhinge_schema::ledger;
 use wigeonhinge_schema::ledger::Phase;
+use wigeonhinge_schema::ledger::WaveState;
 
 use crate::controllers::Orders;
 use crate::controllers::unix;
@@ -77,11 +80,16 @@
     serving: BTreeSet<VmId>,
     /// Since when each VM is out of service, as this controller saw it.
     since: BTreeMap<VmId, Time>,
+    /// Wave as this controller saw it last.
+    wave: Option<Seen>,
     orders: Orders<Purpose>,
     looked: Option<Time>,
     stepped: Time,
 }
 
+/// Identifier and state of the wave, `None` without a wave.
+type Seen = Option<(String, WaveState)>;
+
 /// What an order is for.
 #[derive(Debug)]
 enum Purpose {
@@ -107,6 +115,7 @@
             asked: BTreeSet::new(),
             serving: BTreeSet::new(),
             since: BTreeMap::new(),
+            wave: None,
             orders: Orders::new(),
             looked: None,
             stepped: Time::ZERO,
@@ -274,10 +283,38 @@
                 .map(|document| (version, Ledger::from_document(document))),
         };
         self.ledger = read;
+        self.audit_wave();
         self.spread(now);
     }
 
+    /// Records a change of the wave that an operator made in the ledger.
+    fn audit_wave(&mut self) {
+        let Some((version, ledger)) = &self.ledger else {
+            return;
+        };
+        let seen = seen(ledger);
+        let before = self.wave.replace(seen.clone());
+        if before.is_none() || before == Some(seen) {
+            return;
+        }
+        if let Some(wave) = ledger.wave() {
+            let state = wave.state().as_str_name().to_lowercase();
+            let record = Record {
+                id: format!("wave-{}-{version}", self.region),
+                at_ms: u64::try_from(unix().as_millis()).unwrap_or(u64::MAX),
+                who: wave.author.clone(),
+                kind: Kind::WaveStep.into(),
+                subject: format!("wave {} of region {}", wave.id, self.region),
+                old_revision: ledger.document().revision,
+                new_revision: ledger.document().revision,
+                reason: format!("set to {state} by an operator: {}", wave.reason),
+            };
+            self.orders.tell(Order::Audit(vec![record]));
+        }
+    }
+
     fn wrote(&mut self, write: controller::Write, version: u64, now: Time) {
+        self.wave = Some(seen(&write.ledger));
         self.ledger = Some((version, write.ledger));
         self.orders.tell(Order::Audit(write.records));
         self.spread(now);
@@ -342,6 +379,10 @@
     }
 }
 
+fn seen(ledger: &Ledger) -> Seen {
+    ledger.wave().map(|wave| (wave.id.clone(), wave.state()))
+}
+
 fn command(action: Action) -> WorkerCommand {
     match action {
         Action::Cordon => WorkerCommand::Cordon,
