--- a/crates/cli/tests/site.rs
+++ b/crates/cli/tests/site.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use wigeonhinge::id::EntryId;
 use wigeonhinge_cli::owner::Owner;
@@ -14,6 +15,7 @@
 use wigeonhinge_standin::caller::Stream;
 use wigeonhinge_standin::caller::Verdict;
 use wigeonhinge_standin::platform::Mode;
+use wigeonhinge_standin::vms::State;
 
 /// Promise for an accepted configuration to be in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(5);
@@ -21,6 +23,9 @@
 /// Time that outlasts a session lease.
 const PAST_LEASE: Duration = Duration::from_secs(8);
 
+/// Promise for a leaving upstream to get no new work.
+const LEAVING: Duration = Duration::from_secs(3);
+
 const START: Duration = Duration::from_secs(30);
 
 const SEED: u64 = 7;
@@ -141,6 +146,31 @@
     );
 }
 
+/// Guards against new work for an upstream whose VM the platform lists as leaving.
+#[test]
+fn site_leaving() {
+    let site = open(Owner::Coastline);
+    let load = load(&site, Duration::from_secs(9), SEED);
+    thread::sleep(Duration::from_secs(3));
+    let vm = site.fleet.upstreams[0].vm.clone();
+    let sign = Instant::now();
+    site.platform.state().vms.set(&vm, State::Leaving, sign);
+    let records = load.join().expect("records");
+    let last = site.upstreams[0]
+        .ledger()
+        .last
+        .expect("a request before the sign");
+    let after = last.saturating_duration_since(sign);
+    println!("last new request {} ms after the sign", after.as_millis());
+    assert!(after <= LEAVING, "{after:?}");
+    let verdict = verdict(&site, &records);
+    assert_eq!(
+        (verdict.lost, verdict.duplicated, verdict.crossed),
+        (0, 0, 0),
+        "{verdict:?}"
+    );
+}
+
 /// Guards against work that is lost or run twice when one entry is killed, and
 /// against a replacement of every entry that costs any caller its answer.
 #[test]
