--- a/crates/daemon/tests/platform.rs
+++ b/crates/daemon/tests/platform.rs
@@ -167,6 +167,21 @@
     Authority { role, fence }
 }
 
+/// Guards against the fence of one role that blocks another role, whose fences count apart.
+#[compio::test]
+async fn worker_fences_apart() {
+    let (standin, client) = open();
+    standin.state().workers.add("vm");
+    let running = answer(TaskState::Running, true);
+    assert_eq!(client.start("vm", &start(5)).await, Ok(running));
+    let fleet = Authority {
+        role: "fleet/west",
+        fence: 1,
+    };
+    let drain = client.command("vm", WorkerCommand::Drain, fleet, 1).await;
+    assert_eq!(drain, Ok(Reply::Done));
+}
+
 /// Guards against a late copy of a reboot order that restarts a worker again.
 #[compio::test]
 async fn worker_late_order() {
