--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -61,6 +61,10 @@
 
 /// Submits a file as the new configuration.
 pub(crate) fn run(options: &ApplyOptions) -> Exit {
+    if options.ask && (options.edit.is_none() || options.base.is_none()) {
+        eprintln!("wigeonhinge: --ask needs the --edit and the --base of the earlier edit");
+        return Exit::BadInput;
+    }
     let document = match Document::open(&options.file) {
         Ok(document) => document,
         Err(problems) => return check::report(&options.file, &problems, options.json),
@@ -75,7 +79,7 @@
             },
         };
         let edit = edit(options, base, fleet);
-        let outcome = if options.edit.is_some() && options.ask {
+        let outcome = if options.ask {
             submit::resolve(&platform, &edit).await
         } else {
             submit::submit(&platform, &edit, SUBMIT_LIMIT).await
--- a/crates/cli/tests/submit.rs
+++ b/crates/cli/tests/submit.rs
@@ -135,4 +135,12 @@
     assert_eq!(run(&args(EXAMPLE)), Exit::Done);
     assert_eq!(platform.state().store.version("config"), 1);
     assert_eq!(run(&["apply".to_owned()]), Exit::BadInput);
+    let ask = |more: &[&str]| {
+        let more = more.iter().map(|word| (*word).to_owned());
+        run(&args(EXAMPLE).into_iter().chain(more).collect::<Vec<_>>())
+    };
+    assert_eq!(ask(&["--ask"]), Exit::BadInput);
+    assert_eq!(ask(&["--ask", "--edit", "x"]), Exit::BadInput);
+    assert_eq!(ask(&["--ask", "--edit", "x", "--base", "1"]), Exit::Unknown);
+    assert_eq!(platform.state().store.version("config"), 1);
 }
