--- a/crates/daemon/src/exchange/link.rs
+++ b/crates/daemon/src/exchange/link.rs
@@ -28,7 +28,6 @@
 use hyper::header;
 use hyper::header::HeaderValue;
 use hyper::rt::Read;
-use hyper::rt::ReadBuf;
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
 use socket2::SockRef;
@@ -40,12 +39,12 @@
 use crate::flow::headers::LEAVING;
 use crate::flow::headers::REQUEST_ID;
 use crate::flow::headers::RUN;
+use crate::stream;
 
 /// Time without traffic after which the kernel probes a connection.
 const KEEPALIVE: Duration = Duration::from_secs(5);
 /// Time without acknowledgement after which the kernel ends a connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
-const SCRATCH: usize = 8_192;
 
 /// One connection to an upstream; dropping it closes it.
 pub(super) struct Link {
@@ -239,14 +238,10 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        mut cursor: ReadBufCursor<'_>,
+        cursor: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut scratch = [0; SCRATCH];
-        let size = scratch.len().min(cursor.remaining());
-        let mut buffer = ReadBuf::new(&mut scratch[..size]);
-        ready!(Pin::new(&mut self.io).poll_read(cx, buffer.unfilled()))?;
-        self.meter.add(&self.meter.read, buffer.filled().len());
-        cursor.put_slice(buffer.filled());
+        let count = ready!(stream::poll_read(&mut self.io, cx, cursor))?;
+        self.meter.add(&self.meter.read, count);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 mod exchange;
 mod flow;
 mod listen;
+mod stream;
 
 pub use crate::daemon::Daemon;
 pub use crate::daemon::Source;
--- a/crates/daemon/src/listen/guard.rs
+++ b/crates/daemon/src/listen/guard.rs
@@ -32,10 +32,11 @@
 
 use crate::listen::IDLE;
 use crate::listen::SEND;
+use crate::stream;
+use crate::stream::SCRATCH;
 
 /// Time for which a closed connection is read from.
 const LINGER: Duration = Duration::from_millis(500);
-const SCRATCH: usize = 4_096;
 
 /// Progress of the exchange on a caller's connection.
 #[derive(Debug)]
@@ -233,16 +234,12 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        mut cursor: ReadBufCursor<'_>,
+        cursor: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut scratch = [0; SCRATCH];
-        let size = scratch.len().min(cursor.remaining());
-        let mut buffer = ReadBuf::new(&mut scratch[..size]);
-        ready!(Pin::new(&mut self.io).poll_read(cx, buffer.unfilled()))?;
-        if !buffer.filled().is_empty() {
+        let count = ready!(stream::poll_read(&mut self.io, cx, cursor))?;
+        if count > 0 {
             self.watch.read();
         }
-        cursor.put_slice(buffer.filled());
         Poll::Ready(Ok(()))
     }
 }
