--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod platform;
 pub mod report;
 pub mod settings;
+pub mod site;
 pub mod watch;
 
 mod exchange;
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -2,7 +2,7 @@
 
 mod guard;
 mod limits;
-mod runtime;
+pub(crate) mod runtime;
 
 use std::cell::Cell;
 use std::convert::Infallible;
--- a/crates/daemon/src/listen/runtime.rs
+++ b/crates/daemon/src/listen/runtime.rs
@@ -19,14 +19,14 @@
 const ROUNDS: usize = 16;
 
 /// Builds a runtime that polls.
-pub(super) fn build() -> io::Result<Runtime> {
+pub(crate) fn build() -> io::Result<Runtime> {
     let mut proactor = ProactorBuilder::new();
     proactor.driver_type(DriverType::Poll);
     Runtime::builder().with_proactor(proactor).build()
 }
 
 /// Runs a future and every task that it spawns until the future completes.
-pub(super) fn block_on<F: Future>(runtime: &Runtime, future: F) -> F::Output {
+pub(crate) fn block_on<F: Future>(runtime: &Runtime, future: F) -> F::Output {
     runtime.enter(|| {
         let waker = runtime.waker();
         let mut context = Context::from_waker(&waker);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -16,6 +16,9 @@
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
 
+/// Environment variable with the path of the settings file on the platform.
+const SETTINGS: &str = "WIGEONHINGE_SETTINGS";
+
 /// Options of the command line.
 #[derive(Debug, Options)]
 struct Arguments {
@@ -24,10 +27,14 @@
     #[options(
         help = "settings file (JSON with comments)",
         meta = "FILE",
-        no_short,
-        required
+        no_short
+    )]
+    settings: Option<PathBuf>,
+    #[options(
+        help = "run on the users' platform, which names the settings file in its environment",
+        no_short
     )]
-    settings: PathBuf,
+    site: bool,
 }
 
 fn main() -> ExitCode {
@@ -42,10 +49,17 @@
 }
 
 fn run(arguments: Arguments) -> Result<()> {
-    let settings = Settings::open(&arguments.settings)?;
+    let file = arguments
+        .settings
+        .or_else(|| std::env::var_os(SETTINGS).map(PathBuf::from))
+        .ok_or_else(|| eyre::eyre!("no settings file; name one with --settings FILE"))?;
+    if arguments.site {
+        return wigeonhinged::site::run(&file);
+    }
+    let settings = Settings::open(&file)?;
     let report = Report::open(&settings).wrap_err("cannot open the log and the metrics")?;
     let setup = Setup {
-        file: Some(arguments.settings),
+        file: Some(file),
         report: report.clone(),
         ..Setup::default()
     };
--- a/crates/daemon/src/report.rs
+++ b/crates/daemon/src/report.rs
@@ -149,6 +149,19 @@
     }
 }
 
+/// Returns a logger that writes JSON lines to standard output.
+pub(crate) fn stdout(entry: &str, zone: &str) -> Logger {
+    let drain = slog_json::Json::default(io::stdout());
+    let drain = slog_async::Async::new(boxed(drain))
+        .chan_size(RECORDS)
+        .build()
+        .fuse();
+    Logger::root(
+        drain,
+        o!("entry" => entry.to_owned(), "zone" => zone.to_owned()),
+    )
+}
+
 fn client(address: SocketAddr, settings: &Settings) -> io::Result<StatsdClient> {
     let local: SocketAddr = match address {
         SocketAddr::V4(_) => ([0, 0, 0, 0], 0).into(),
--- /dev/null
+++ b/crates/daemon/src/site/keys.rs
@@ -0,0 +1,40 @@
+//! Keys of the project in the platform's store.
+
+use std::fmt::Display;
+
+/// Prefix of all keys of the project.
+pub(super) const ALL: &str = "wigeonhinge/";
+
+/// Prefix of accepted jobs and cancellations.
+pub(super) const INPUT: &str = "wigeonhinge/in/";
+
+/// Prefix of accepted jobs.
+pub(super) const JOBS: &str = "wigeonhinge/in/job/";
+
+/// Prefix of cancellations.
+pub(super) const CANCELS: &str = "wigeonhinge/in/cancel/";
+
+/// Prefix of what the jobs' runs did.
+pub(super) const PROGRESS: &str = "wigeonhinge/out/";
+
+/// Prefix of what was done for waves.
+pub(super) const WAVES: &str = "wigeonhinge/wave/";
+
+/// Key of the scheduler role; its creation is the role's fence.
+pub(super) const ROLE: &str = "wigeonhinge/role";
+
+pub(super) fn job(id: impl Display) -> String {
+    format!("{JOBS}{id}")
+}
+
+pub(super) fn cancel(id: impl Display) -> String {
+    format!("{CANCELS}{id}")
+}
+
+pub(super) fn progress(id: impl Display) -> String {
+    format!("{PROGRESS}{id}")
+}
+
+pub(super) fn wave(number: u64) -> String {
+    format!("{WAVES}{number}")
+}
--- /dev/null
+++ b/crates/daemon/src/site/role.rs
@@ -0,0 +1,621 @@
+//! The holder of the scheduler role: feeds [`Batch`] and carries out its actions.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compio::runtime::JoinHandle;
+use flume::Receiver;
+use flume::Sender;
+use futures_util::future;
+use serde::Deserialize;
+use serde::Serialize;
+use slog::debug;
+use slog::info;
+use slog::warn;
+use wigeonhinge::Time;
+use wigeonhinge::batch;
+use wigeonhinge::batch::Action;
+use wigeonhinge::batch::Batch;
+use wigeonhinge::batch::Event;
+use wigeonhinge::batch::JobRow;
+use wigeonhinge::batch::ProgressRow;
+use wigeonhinge::batch::Wave;
+use wigeonhinge::batch::WorkerEntry;
+use wigeonhinge::batch::WorkerId;
+use wigeonhinge::batch::Write;
+use wigeonhinge::id::VmId;
+use wigeonhinge_platform::machines;
+use wigeonhinge_platform::records;
+use wigeonhinge_platform::store::Change;
+use wigeonhinge_platform::store::Error;
+use wigeonhinge_platform::store::Item;
+use wigeonhinge_platform::store::Revision;
+
+use crate::site::Shared;
+use crate::site::clock;
+use crate::site::election;
+use crate::site::election::Term;
+use crate::site::keys;
+use crate::site::lookout;
+use crate::site::lookout::Handle;
+use crate::site::orders;
+use crate::site::watcher::CALL;
+use crate::site::watcher::Seen;
+use crate::site::watcher::Watch;
+use crate::site::writer;
+use crate::site::writer::Extra;
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Messages that are handled before the rows are written.
+const BURST: usize = 128;
+
+/// Pause after a failed read at the start of a term.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// Time for which a holder may reach too few workers before it gives up the role.
+const ISOLATED: Duration = Duration::from_millis(1_500);
+
+/// What the tasks of the role report.
+#[derive(Debug)]
+pub(super) enum Message {
+    /// Jobs were accepted or cancelled.
+    Input(Vec<Change>),
+    /// Everything below the prefix of inputs.
+    Inputs(Vec<Item>),
+    /// Workers' entries changed.
+    Registry(Vec<Change>),
+    /// All workers' entries.
+    Workers(Vec<Item>),
+    /// Waves were asked for.
+    Waves(Vec<Item>),
+    /// Something happened that the library decides on.
+    Event(Event),
+    /// The store holds rows; the role's key has this revision.
+    Written(Vec<Write>, Revision),
+    /// The role is lost.
+    Lost(String),
+}
+
+/// What was done for a wave, as it is stored.
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct WaveRow {
+    due_ms: i64,
+    done: Vec<VmId>,
+    completed: bool,
+}
+
+struct Role {
+    shared: Rc<Shared>,
+    term: Term,
+    batch: Batch,
+    inbox: Sender<Message>,
+    registry: BTreeMap<String, WorkerEntry>,
+    workers: BTreeMap<WorkerId, Handle>,
+    waves: BTreeMap<u64, WaveRow>,
+    extras: Vec<Extra>,
+    machine_orders: Sender<(VmId, machines::Order)>,
+    writing: bool,
+    written: u64,
+    extend: Rc<Cell<bool>>,
+    catalog: u64,
+    /// Since when too few workers answer.
+    isolated: Option<Time>,
+    lost: Option<String>,
+    _tasks: Vec<JoinHandle<()>>,
+}
+
+/// What the store holds at the start of a term.
+struct Stored {
+    inputs: (Vec<Item>, Revision),
+    progress: Vec<Item>,
+    workers: (Vec<Item>, Revision),
+    waves: Vec<Item>,
+    done: Vec<Item>,
+}
+
+/// Fills the role until it is lost or given up; returns the reason.
+pub(super) async fn run(shared: &Rc<Shared>, term: Term, resigned: &Receiver<()>) -> String {
+    let began = clock::now();
+    let (inbox, messages) = flume::unbounded();
+    let renewal = election::renew(Rc::clone(shared), term.clone(), inbox.clone());
+    let renewal = compio::runtime::spawn(renewal);
+    let stored = loop {
+        match load(shared).await {
+            Ok(stored) => break stored,
+            Err(error) => {
+                warn!(shared.log, "role: cannot read the jobs"; "error" => %error);
+                compio::time::sleep(RETRY).await;
+            }
+        }
+        if clock::now().saturating_sub(term.renewed.get()) > 4 * ISOLATED {
+            return "the jobs cannot be read".into();
+        }
+    };
+    let mut role = Role::open(shared, term, stored, inbox);
+    role._tasks.push(renewal);
+    info!(shared.log, "role: at work"; "fence" => role.term.fence,
+        "after_ms" => (clock::now() - began).as_millis() as u64);
+    let reason = role.work(&messages, resigned).await;
+    while role.writing && shared.draining.get() {
+        // A successor begins once the last write is done.
+        match compio::time::timeout(CALL, messages.recv_async()).await {
+            Ok(Ok(Message::Written(..))) => role.writing = false,
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) | Err(_) => break,
+        }
+    }
+    reason
+}
+
+async fn load(shared: &Shared) -> Result<Stored, Error> {
+    let store = &shared.store;
+    let (inputs, progress, workers, waves, done) = future::join5(
+        store.range(keys::INPUT, CALL),
+        store.range(keys::PROGRESS, CALL),
+        store.range(records::WORKERS, CALL),
+        store.range(records::WAVES, CALL),
+        store.range(keys::WAVES, CALL),
+    )
+    .await;
+    Ok(Stored {
+        inputs: inputs?,
+        progress: progress?.0,
+        workers: workers?,
+        waves: waves?.0,
+        done: done?.0,
+    })
+}
+
+impl Role {
+    fn open(shared: &Rc<Shared>, term: Term, stored: Stored, inbox: Sender<Message>) -> Self {
+        let now = clock::now();
+        let bounds = bounds(shared);
+        let epoch_ms = clock::wall_ms() - now.as_millis() as i64;
+        let catalog = shared.catalog.borrow().clone();
+        let catalog = catalog.map(|it| (*it).clone()).unwrap_or_default();
+        let version = catalog.version;
+        let (machine_orders, queue) = flume::unbounded();
+        let mut tasks = watches(shared, &stored, &inbox);
+        if let Some(address) = shared.settings.machines {
+            let holder = shared.settings.entry.to_string();
+            let log = shared.log.clone();
+            let list = orders::list(address, holder.clone(), log.clone(), inbox.clone());
+            let renewed = Rc::clone(&term.renewed);
+            let fence = term.fence;
+            let give = orders::give(
+                (address, holder),
+                (fence, renewed),
+                queue,
+                log,
+                inbox.clone(),
+            );
+            tasks.push(compio::runtime::spawn(list));
+            tasks.push(compio::runtime::spawn(give));
+        }
+        let mut role = Self {
+            shared: Rc::clone(shared),
+            batch: Batch::open(bounds, catalog, epoch_ms, now),
+            term,
+            inbox,
+            registry: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            waves: BTreeMap::new(),
+            extras: Vec::new(),
+            machine_orders,
+            writing: false,
+            written: 0,
+            extend: Rc::new(Cell::new(true)),
+            catalog: version,
+            isolated: None,
+            lost: None,
+            _tasks: tasks,
+        };
+        role.restore(stored, now);
+        role
+    }
+
+    /// Takes over what the store holds.
+    fn restore(&mut self, stored: Stored, now: Time) {
+        self.all_workers(stored.workers.0);
+        let mut progress = BTreeMap::new();
+        for item in stored.progress {
+            match serde_json::from_slice::<ProgressRow>(&item.value) {
+                Ok(row) => {
+                    progress.insert(item.key, row);
+                }
+                Err(error) => self.unreadable(&item.key, &error.to_string()),
+            }
+        }
+        let mut cancels = Vec::new();
+        let mut count = 0;
+        for item in stored.inputs.0 {
+            if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
+                cancels.push(CompactString::from(id));
+                continue;
+            }
+            match serde_json::from_slice::<JobRow>(&item.value) {
+                Ok(row) => {
+                    let done = progress.remove(&keys::progress(&row.id));
+                    self.batch.restore(row, done, now);
+                    count += 1;
+                }
+                Err(error) => self.unreadable(&item.key, &error.to_string()),
+            }
+        }
+        info!(self.shared.log, "role: jobs taken over"; "jobs" => count,
+            "cancelled" => cancels.len(), "workers" => self.registry.len());
+        for job in cancels {
+            self.handle(Event::Cancel(job));
+        }
+        for item in stored.done {
+            let number = item.key.strip_prefix(keys::WAVES);
+            let number = number.and_then(|it| it.parse().ok());
+            if let (Some(number), Ok(row)) = (number, serde_json::from_slice(&item.value)) {
+                self.waves.insert(number, row);
+            }
+        }
+        self.all_waves(stored.waves);
+    }
+
+    async fn work(&mut self, messages: &Receiver<Message>, resigned: &Receiver<()>) -> String {
+        let mut next = clock::now() + TICK;
+        loop {
+            let wait = next.saturating_sub(clock::now());
+            let received = compio::time::timeout(wait, messages.recv_async()).await;
+            if let Ok(Ok(message)) = received {
+                self.take(message);
+                for message in messages.try_iter().take(BURST) {
+                    self.take(message);
+                }
+            }
+            if clock::now() >= next {
+                next = clock::now() + TICK;
+                self.tick();
+            }
+            self.write();
+            if let Some(reason) = self.lost.take() {
+                return reason;
+            }
+            if resigned.try_recv().is_ok() || self.shared.draining.get() {
+                return "the entry is stopping".into();
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Input(changes) => {
+                for change in changes {
+                    if let Change::Set(item) = change {
+                        self.input(&item);
+                    }
+                }
+            }
+            Message::Inputs(items) => items.iter().for_each(|item| self.input(item)),
+            Message::Registry(changes) => self.some_workers(changes),
+            Message::Workers(items) => self.all_workers(items),
+            Message::Waves(items) => self.all_waves(items),
+            Message::Event(event) => self.event(event),
+            Message::Written(writes, revision) => {
+                self.writing = false;
+                self.term.revision = revision;
+                let mut replica = self.shared.replica.borrow_mut();
+                for write in &writes {
+                    replica.written(&write.job, &write.row);
+                }
+                drop(replica);
+                let actions = self.batch.written(&writes, clock::now());
+                self.act(actions);
+            }
+            Message::Lost(reason) => self.lost = Some(reason),
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        if let Event::Ordered(_, true) = event {
+            self.handle(event);
+            let numbers: Vec<u64> = self.waves.keys().copied().collect();
+            for number in numbers {
+                self.store_wave(number, false);
+            }
+        } else {
+            self.handle(event);
+        }
+    }
+
+    fn input(&mut self, item: &Item) {
+        if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
+            self.handle(Event::Cancel(id.into()));
+            return;
+        }
+        match serde_json::from_slice::<JobRow>(&item.value) {
+            Ok(row) => self.handle(Event::Accept(row)),
+            Err(error) => self.unreadable(&item.key, &error.to_string()),
+        }
+    }
+
+    fn tick(&mut self) {
+        let catalog = self.shared.catalog.borrow().clone();
+        if let Some(catalog) = catalog.filter(|it| it.version > self.catalog) {
+            self.catalog = catalog.version;
+            self.handle(Event::Configure((*catalog).clone()));
+        }
+        self.handle(Event::Tick);
+        let now = clock::now();
+        let reaches = self.batch.reaches_most(now);
+        let contact = now.saturating_sub(self.term.renewed.get()) < batch::CONTACT;
+        self.extend.set(contact || reaches);
+        if reaches {
+            self.isolated = None;
+        } else if now.saturating_sub(*self.isolated.get_or_insert(now)) > ISOLATED {
+            self.lost = Some("too few workers answer".into());
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let actions = self.batch.handle(event, clock::now());
+        self.act(actions);
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start {
+                    worker,
+                    task,
+                    run,
+                    spec,
+                    checkpoint,
+                } => {
+                    info!(self.shared.log, "jobs: start"; "task" => %task, "run" => run,
+                        "worker" => %worker);
+                    let order = lookout::Order::Start(task, run, spec, checkpoint);
+                    self.order(&worker, order);
+                }
+                Action::Stop { worker, task, run } => {
+                    info!(self.shared.log, "jobs: stop"; "task" => %task, "run" => run,
+                        "worker" => %worker);
+                    self.order(&worker, lookout::Order::Stop(task, run));
+                }
+                Action::Pace {
+                    worker,
+                    task,
+                    run,
+                    percent,
+                } => {
+                    debug!(self.shared.log, "jobs: pace"; "task" => %task, "percent" => percent);
+                    self.order(&worker, lookout::Order::Pace(task, run, percent));
+                }
+                Action::Acknowledge { worker, end } => {
+                    if let Some(handle) = self.workers.get(&worker) {
+                        handle.acknowledge(end);
+                    }
+                }
+                Action::Move { machine, pool } => {
+                    let order = (machine, machines::Order::Move(pool));
+                    // The receiver lives as long as this role.
+                    let _ = self.machine_orders.send(order);
+                }
+                Action::Maintain { machine, wave } => {
+                    let order = (machine, machines::Order::Maintain(wave));
+                    let _ = self.machine_orders.send(order);
+                }
+                Action::Publish { wave, completed } => self.store_wave(wave, completed),
+                Action::Note(line) => info!(self.shared.log, "{}", line),
+            }
+        }
+    }
+
+    fn order(&self, worker: &WorkerId, order: lookout::Order) {
+        match self.workers.get(worker) {
+            Some(handle) => handle.order(order),
+            None => warn!(self.shared.log, "jobs: no connection to worker"; "worker" => %worker),
+        }
+    }
+
+    /// Writes changed rows unless a write is under way.
+    fn write(&mut self) {
+        if self.writing {
+            return;
+        }
+        let writes = self.batch.take_writes(writer::ROWS);
+        if writes.is_empty() && self.extras.is_empty() {
+            return;
+        }
+        self.writing = true;
+        self.written += 1;
+        let extras = std::mem::take(&mut self.extras);
+        let term = (self.term.clone(), self.written);
+        let shared = Rc::clone(&self.shared);
+        let write = writer::write(shared, term, writes, extras, self.inbox.clone());
+        compio::runtime::spawn(write).detach();
+    }
+
+    fn all_workers(&mut self, items: Vec<Item>) {
+        self.registry.clear();
+        for item in items {
+            self.worker(item);
+        }
+        self.register();
+    }
+
+    fn some_workers(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Set(item) => self.worker(item),
+                Change::Removed { key, .. } => {
+                    info!(self.shared.log, "registry: worker left"; "key" => &key);
+                    self.registry.remove(&key);
+                }
+            }
+        }
+        self.register();
+    }
+
+    fn worker(&mut self, item: Item) {
+        match records::worker(&item.key, &item.value) {
+            Ok(entry) => {
+                let known = self.registry.get(&item.key);
+                if known.is_none_or(|it| it.draining != entry.draining) {
+                    info!(self.shared.log, "registry: worker"; "worker" => %entry.id,
+                        "pool" => %entry.pool, "draining" => entry.draining,
+                        "machine" => %entry.machine);
+                }
+                self.registry.insert(item.key, entry);
+            }
+            Err(reason) => {
+                self.registry.remove(&item.key);
+                self.unreadable(&item.key, &reason);
+            }
+        }
+    }
+
+    fn register(&mut self) {
+        let entries: Vec<WorkerEntry> = self.registry.values().cloned().collect();
+        for entry in &entries {
+            let address = entry.address.parse().ok();
+            let known = self.workers.get(&entry.id).map(|it| it.address);
+            if known.is_some() && known == address {
+                continue;
+            }
+            let extend = Rc::clone(&self.extend);
+            let log = self.shared.log.clone();
+            let tell = (log, self.inbox.clone());
+            match lookout::spawn(entry, self.term.fence, extend, tell) {
+                Some(handle) => {
+                    self.workers.insert(entry.id.clone(), handle);
+                }
+                None => self.unreadable(&entry.id, "the address is no IP:port"),
+            }
+        }
+        self.handle(Event::Workers(entries));
+        let batch = &self.batch;
+        self.workers.retain(|id, _| batch.knows(id));
+    }
+
+    fn all_waves(&mut self, items: Vec<Item>) {
+        for item in items {
+            let wave = match records::wave(&item.value) {
+                Ok(wave) => wave,
+                Err(reason) => {
+                    self.unreadable(&item.key, &reason);
+                    continue;
+                }
+            };
+            self.wave(wave);
+        }
+    }
+
+    fn wave(&mut self, mut wave: Wave) {
+        let wall = clock::wall_ms();
+        let number = wave.number;
+        match self.waves.get(&number) {
+            Some(row) => {
+                let left = u64::try_from(row.due_ms - wall).unwrap_or(0);
+                wave.remaining = Duration::from_millis(left);
+                wave.done = row.done.iter().cloned().collect();
+                wave.completed = row.completed;
+            }
+            None => {
+                let due_ms = wall + wave.remaining.as_millis() as i64;
+                let row = WaveRow {
+                    due_ms,
+                    ..WaveRow::default()
+                };
+                self.waves.insert(number, row);
+                info!(self.shared.log, "waves: asked for"; "wave" => number,
+                    "machines" => wave.machines.len(), "limit" => wave.limit,
+                    "secs" => wave.remaining.as_secs());
+            }
+        }
+        self.handle(Event::Wave(wave));
+        self.store_wave(number, false);
+    }
+
+    fn store_wave(&mut self, number: u64, completed: bool) {
+        let done = self.batch.wave_progress(number);
+        let Some(row) = self.waves.get_mut(&number) else {
+            return;
+        };
+        row.completed |= completed;
+        row.done = done.into_iter().collect();
+        let state = records::wave_state(number, row.completed);
+        if completed {
+            info!(self.shared.log, "waves: completed"; "wave" => number);
+        }
+        match serde_json::to_vec(row) {
+            Ok(value) => self.extra(keys::wave(number), value),
+            Err(error) => warn!(self.shared.log, "waves: row"; "error" => %error),
+        }
+        self.extra(records::wave_state_key(number), state);
+    }
+
+    fn extra(&mut self, key: String, value: Vec<u8>) {
+        self.extras.retain(|(name, _)| *name != key);
+        self.extras.push((key, value));
+    }
+
+    fn unreadable(&self, key: &str, reason: &str) {
+        warn!(self.shared.log, "role: entry skipped"; "key" => key, "reason" => reason);
+    }
+}
+
+fn bounds(shared: &Shared) -> batch::Bounds {
+    let bounds = shared.settings.bounds;
+    let millis = |value: f64| Duration::from_secs_f64(value / 1e3);
+    batch::Bounds {
+        lease: millis(bounds.lease_ms),
+        retention: Duration::from_secs_f64(bounds.retention_secs),
+        migrate: Duration::from_secs_f64(bounds.migrate_secs),
+        maintenance: Duration::from_secs_f64(bounds.maintenance_secs),
+        order_lease: millis(bounds.order_lease_ms),
+        notice: millis(bounds.notice_ms),
+    }
+}
+
+/// Starts the watches on jobs, workers and waves.
+fn watches(
+    shared: &Rc<Shared>,
+    stored: &Stored,
+    inbox: &Sender<Message>,
+) -> Vec<JoinHandle<()>> {
+    let inputs = Watch::open(shared, keys::INPUT).after(stored.inputs.1);
+    let workers = Watch::open(shared, records::WORKERS).after(stored.workers.1);
+    let waves = Watch::open(shared, records::WAVES);
+    let follow = |mut watch: Watch, wrap: fn(Seen) -> Message| {
+        let inbox = inbox.clone();
+        compio::runtime::spawn(async move {
+            loop {
+                let seen = watch.next().await;
+                if inbox.send(wrap(seen)).is_err() {
+                    return;
+                }
+            }
+        })
+    };
+    vec![
+        follow(inputs, |seen| match seen {
+            Seen::All(items) => Message::Inputs(items),
+            Seen::Changes(changes) => Message::Input(changes),
+        }),
+        follow(workers, |seen| match seen {
+            Seen::All(items) => Message::Workers(items),
+            Seen::Changes(changes) => Message::Registry(changes),
+        }),
+        follow(waves, |seen| match seen {
+            Seen::All(items) => Message::Waves(items),
+            Seen::Changes(changes) => {
+                let items = changes.into_iter().filter_map(|change| match change {
+                    Change::Set(item) => Some(item),
+                    Change::Removed { .. } => None,
+                });
+                Message::Waves(items.collect())
+            }
+        }),
+    ]
+}
--- /dev/null
+++ b/crates/wigeonhinge/src/batch.rs
@@ -0,0 +1,452 @@
+//! Jobs of steps and tasks on leased workers, pools that follow demand, maintenance waves.
+//!
+//! [`Batch`] is the state of the one entry that holds the scheduler role. It
+//! takes [`Event`]s and returns [`Action`]s, without I/O. Three orders of
+//! durable steps make it safe to lose at any instant:
+//!
+//! - A start is ordered after the store holds the task's run and worker.
+//! - An end is acknowledged to its worker after the store holds its result.
+//! - A run that may exist on a worker is given up when the worker lists no such
+//!   run under the current fence, has a new incarnation, or its lease has ended.
+
+mod demand;
+mod job;
+mod place;
+mod pools;
+mod report;
+mod row;
+mod spec;
+mod task;
+mod upkeep;
+mod worker;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::id::JobId;
+use crate::id::PoolId;
+use crate::id::Time;
+use crate::id::VmId;
+
+use crate::batch::demand::Demand;
+use crate::batch::job::Job;
+use crate::batch::job::Rank;
+use crate::batch::upkeep::Upkeep;
+use crate::batch::worker::Worker;
+
+pub use crate::batch::pools::Machine;
+pub use crate::batch::pools::MachineState;
+pub use crate::batch::report::End;
+pub use crate::batch::report::Ended;
+pub use crate::batch::report::Report;
+pub use crate::batch::report::Running;
+pub use crate::batch::row::JobRow;
+pub use crate::batch::row::Phase;
+pub use crate::batch::row::ProgressRow;
+pub use crate::batch::row::TaskRow;
+pub use crate::batch::spec::Catalog;
+pub use crate::batch::spec::JobSpec;
+pub use crate::batch::spec::PoolRule;
+pub use crate::batch::spec::Queue;
+pub use crate::batch::spec::Size;
+pub use crate::batch::spec::Step;
+pub use crate::batch::spec::WorkerEntry;
+pub use crate::batch::task::TaskId;
+pub use crate::batch::upkeep::Wave;
+
+/// Identifier of a worker: one life of a VM in a pool.
+pub type WorkerId = CompactString;
+
+/// Number of a task's start; rises with each start.
+pub type Run = u32;
+
+/// Bounds that the platform sets.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// Longest lease that a worker grants.
+    pub lease: Duration,
+    /// Time after a job's deadline for which its state is kept.
+    pub retention: Duration,
+    /// Time that a move takes.
+    pub migrate: Duration,
+    /// Time that maintenance takes.
+    pub maintenance: Duration,
+    /// Time within which holders of machine orders must not take turns.
+    pub order_lease: Duration,
+    /// Time for which a lasting task may be unavailable before it counts as absent.
+    pub notice: Duration,
+}
+
+/// Lease that workers are granted with each look.
+///
+/// A successor is at work within 2.5 s of a loss. A shorter lease would end
+/// before that, and a longer one delays the work of a worker that fell silent.
+pub const LEASE: Duration = Duration::from_millis(3_500);
+
+/// Share by which a worker's clock may be slow.
+pub const CLOCK_SLACK: f64 = 0.03;
+
+/// Time for which a predecessor without contact may still extend leases.
+pub const CONTACT: Duration = Duration::from_millis(1_500);
+
+/// What happened.
+#[derive(Debug)]
+pub enum Event {
+    /// A configuration is in force.
+    Configure(Catalog),
+    /// A job was accepted.
+    Accept(JobRow),
+    /// A job's cancellation was accepted.
+    Cancel(JobId),
+    /// The workers that the registry lists.
+    Workers(Vec<WorkerEntry>),
+    /// A worker listed its runs.
+    Report(WorkerId, Report),
+    /// A lease extension was sent to a worker.
+    Extended(WorkerId),
+    /// A start was answered.
+    Started(WorkerId, TaskId, Run, Reply),
+    /// A stop was answered; `false` if the outcome is unknown.
+    Stopped(WorkerId, TaskId, Run, bool),
+    /// The platform's list of machines.
+    Machines(Vec<Machine>),
+    /// A machine order was answered; `false` if it was refused or its outcome is unknown.
+    Ordered(VmId, bool),
+    /// A maintenance wave is due.
+    Wave(Wave),
+    /// Time went by.
+    Tick,
+}
+
+/// Answer of a worker to a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reply {
+    /// The run is there.
+    Started,
+    /// The worker has no room.
+    NoRoom,
+    /// The worker refused and did nothing.
+    Refused,
+    /// The worker is unhealthy and did nothing.
+    Unhealthy,
+    /// The outcome is unknown.
+    Unknown,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start a run.
+    Start {
+        /// Worker that is asked.
+        worker: WorkerId,
+        /// Task.
+        task: TaskId,
+        /// Number of the start.
+        run: Run,
+        /// What the task runs, as the caller wrote it.
+        spec: CompactString,
+        /// Checkpoint to resume from; empty for none.
+        checkpoint: CompactString,
+    },
+    /// Stop a run.
+    Stop {
+        /// Worker that is asked.
+        worker: WorkerId,
+        /// Task.
+        task: TaskId,
+        /// Number of the start.
+        run: Run,
+    },
+    /// Let a task work at a share of its speed.
+    Pace {
+        /// Worker that is asked.
+        worker: WorkerId,
+        /// Task.
+        task: TaskId,
+        /// Number of the start.
+        run: Run,
+        /// Share in percent.
+        percent: u32,
+    },
+    /// Acknowledge ends up to a number.
+    Acknowledge {
+        /// Worker that listed them.
+        worker: WorkerId,
+        /// Number of the last one.
+        end: u64,
+    },
+    /// Move a machine to a pool.
+    Move {
+        /// Machine.
+        machine: VmId,
+        /// Pool that receives it.
+        pool: PoolId,
+    },
+    /// Begin a machine's maintenance.
+    Maintain {
+        /// Machine.
+        machine: VmId,
+        /// Wave that asks for it.
+        wave: u64,
+    },
+    /// Publish a wave's state.
+    Publish {
+        /// Wave.
+        wave: u64,
+        /// Whether each of its machines had its maintenance.
+        completed: bool,
+    },
+    /// Write a line to the log.
+    Note(String),
+}
+
+/// Row to be written, and the number that acknowledges it.
+#[derive(Clone, Debug)]
+pub struct Write {
+    /// Job.
+    pub job: JobId,
+    /// Version of the job that the row holds.
+    pub version: u64,
+    /// Row.
+    pub row: ProgressRow,
+}
+
+/// State of the scheduler role.
+#[derive(Debug)]
+pub struct Batch {
+    bounds: Bounds,
+    catalog: Catalog,
+    jobs: BTreeMap<JobId, Job>,
+    /// Jobs that changed since their last row was taken.
+    dirty: BTreeSet<JobId>,
+    /// Tasks that could start, by pool.
+    ready: BTreeMap<PoolId, BTreeSet<Rank>>,
+    /// Pools in which a task may find room since the last pass.
+    stale: BTreeSet<PoolId>,
+    workers: BTreeMap<WorkerId, Worker>,
+    demand: Demand,
+    upkeep: Upkeep,
+    machines: BTreeMap<VmId, pools::Held>,
+    /// Terminal rows that wait to be written.
+    finals: BTreeMap<JobId, (u64, ProgressRow)>,
+    started: Time,
+    /// Unix time at `Time::ZERO`, in milliseconds.
+    epoch_ms: i64,
+    next_version: u64,
+    next_tick: Time,
+    actions: Vec<Action>,
+}
+
+impl Batch {
+    /// Creates the state of a holder that took the role at `now`.
+    ///
+    /// `epoch_ms` is the Unix time in milliseconds at which `Time` is zero.
+    pub fn open(bounds: Bounds, catalog: Catalog, epoch_ms: i64, now: Time) -> Self {
+        Self {
+            bounds,
+            catalog,
+            jobs: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            ready: BTreeMap::new(),
+            stale: BTreeSet::new(),
+            workers: BTreeMap::new(),
+            demand: Demand::default(),
+            upkeep: Upkeep::default(),
+            machines: BTreeMap::new(),
+            finals: BTreeMap::new(),
+            started: now,
+            epoch_ms,
+            next_version: 1,
+            next_tick: now,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Adds a job that the store holds, with what its runs did so far.
+    pub fn restore(&mut self, row: JobRow, progress: Option<ProgressRow>, now: Time) {
+        self.accept(row, progress, now);
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn handle(&mut self, event: Event, now: Time) -> Vec<Action> {
+        match event {
+            Event::Configure(catalog) => self.configure(catalog, now),
+            Event::Accept(row) => self.accept(row, None, now),
+            Event::Cancel(job) => self.cancel(&job),
+            Event::Workers(entries) => self.register(entries, now),
+            Event::Report(worker, report) => self.report(&worker, report, now),
+            Event::Extended(worker) => self.extended(&worker, now),
+            Event::Started(worker, task, run, reply) => {
+                self.started(&worker, &task, (run, reply), now);
+            }
+            Event::Stopped(worker, task, run, known) => {
+                self.stopped(&worker, &task, (run, known), now);
+            }
+            Event::Machines(list) => self.inventory(list, now),
+            Event::Ordered(machine, done) => self.ordered(&machine, done, now),
+            Event::Wave(wave) => self.upkeep.add(wave, now),
+            Event::Tick => self.tick(now),
+        }
+        self.place(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns up to `limit` rows that have to be stored.
+    pub fn take_writes(&mut self, limit: usize) -> Vec<Write> {
+        let mut writes = Vec::new();
+        while writes.len() < limit {
+            if let Some((job, (version, row))) = self.finals.pop_first() {
+                writes.push(Write { job, version, row });
+                continue;
+            }
+            let Some(id) = self.dirty.pop_first() else {
+                break;
+            };
+            if let Some(job) = self.jobs.get(&id) {
+                let row = job.row();
+                writes.push(Write {
+                    job: id,
+                    version: job.version,
+                    row,
+                });
+            }
+        }
+        writes
+    }
+
+    /// Puts back rows whose write had no effect.
+    pub fn return_writes(&mut self, writes: Vec<Write>) {
+        for write in writes {
+            if self.jobs.contains_key(&write.job) {
+                self.dirty.insert(write.job);
+            } else {
+                self.finals.insert(write.job, (write.version, write.row));
+            }
+        }
+    }
+
+    /// Notes that the store holds rows; orders the starts that waited for them.
+    pub fn written(&mut self, writes: &[Write], now: Time) -> Vec<Action> {
+        for write in writes {
+            self.start_recorded(&write.job, write.version, now);
+            for worker in self.workers.values_mut() {
+                worker.store_ends(&write.job, write.version);
+            }
+        }
+        for (id, worker) in &mut self.workers {
+            if let Some(end) = worker.acknowledge() {
+                self.actions.push(Action::Acknowledge {
+                    worker: id.clone(),
+                    end,
+                });
+            }
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns whether most of the workers answered lately.
+    pub fn reaches_most(&self, now: Time) -> bool {
+        let heard = |worker: &&Worker| now.saturating_sub(worker.heard) < CONTACT;
+        let count = self.workers.values().filter(heard).count();
+        count * 2 > self.workers.len()
+    }
+
+    /// Returns whether a worker is listed or may still run something.
+    pub fn knows(&self, worker: &str) -> bool {
+        self.workers.contains_key(worker)
+    }
+
+    /// Returns one line on each pool for operators.
+    pub fn summary(&self) -> BTreeMap<PoolId, (usize, usize, usize)> {
+        let mut summary: BTreeMap<PoolId, (usize, usize, usize)> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let entry = summary.entry(worker.entry.pool.clone()).or_default();
+            entry.0 += 1;
+            entry.1 += worker.runs.len();
+        }
+        for (pool, ready) in &self.ready {
+            summary.entry(pool.clone()).or_default().2 = ready.len();
+        }
+        summary
+    }
+
+    fn configure(&mut self, catalog: Catalog, now: Time) {
+        if catalog.version <= self.catalog.version {
+            return;
+        }
+        self.catalog = catalog;
+        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            self.retarget(&id, now);
+        }
+    }
+
+    fn register(&mut self, entries: Vec<WorkerEntry>, now: Time) {
+        let lease = LEASE.mul_f64(1.0 + CLOCK_SLACK) + CONTACT;
+        let mut listed = BTreeSet::new();
+        for entry in entries {
+            listed.insert(entry.id.clone());
+            match self.workers.get_mut(&entry.id) {
+                Some(worker) => worker.update(entry),
+                None => {
+                    let id = entry.id.clone();
+                    self.workers.insert(id, Worker::new(entry, now + lease));
+                }
+            }
+        }
+        for (id, worker) in &mut self.workers {
+            let absent = !listed.contains(id);
+            if absent && !worker.absent {
+                worker.absent_since = now;
+            }
+            worker.absent = absent;
+        }
+        self.drop_absent(now);
+    }
+
+    /// Forgets workers that left the registry and hold nothing.
+    fn drop_absent(&mut self, now: Time) {
+        let kept = |worker: &Worker| !worker.missing(now) || !worker.runs.is_empty();
+        self.workers.retain(|_, worker| kept(worker));
+    }
+
+    fn extended(&mut self, worker: &WorkerId, now: Time) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            let lease = LEASE.mul_f64(1.0 + CLOCK_SLACK);
+            worker.lapse = worker.lapse.max(now + lease + worker::LAPSE_SLACK);
+        }
+    }
+
+    fn tick(&mut self, now: Time) {
+        if now < self.next_tick {
+            return;
+        }
+        self.next_tick = now + Duration::from_millis(100);
+        self.lapse(now);
+        self.due(now);
+        self.rerank(now);
+        self.stalled(now);
+        self.pace_fillers(now);
+        self.demand_tick(now);
+        self.maintain(now);
+        self.balance(now);
+    }
+
+    fn note(&mut self, line: String) {
+        self.actions.push(Action::Note(line));
+    }
+
+    fn touch(&mut self, job: &JobId) -> u64 {
+        let version = self.next_version;
+        self.next_version += 1;
+        if let Some(entry) = self.jobs.get_mut(job) {
+            entry.version = version;
+            self.dirty.insert(job.clone());
+        }
+        version
+    }
+}
--- /dev/null
+++ b/crates/wigeonhinge/src/batch/demand.rs
@@ -0,0 +1,142 @@
+//! Learned run times and the work that each queue brings.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::batch::Batch;
+use crate::batch::JobRow;
+use crate::batch::Step;
+use crate::batch::job::Occurrence;
+use crate::batch::task::Task;
+use crate::id::Time;
+
+/// Weight of a new run time in the averages.
+const WEIGHT: f64 = 0.05;
+
+/// Ends after which learned run times replace estimates.
+const LEARNED: u32 = 8;
+
+/// Time for which arrivals are remembered.
+const WINDOW: Duration = Duration::from_secs(3);
+
+/// Run times of a queue.
+#[derive(Debug, Default)]
+struct Times {
+    count: u32,
+    mean_ms: f64,
+    /// Mean deviation of the logarithm from the estimate, and from the mean.
+    estimate_error: f64,
+    mean_error: f64,
+    /// Mean logarithm of run time over estimate.
+    bias: f64,
+}
+
+/// What is known of the queues.
+#[derive(Debug, Default)]
+pub(super) struct Demand {
+    times: BTreeMap<CompactString, Times>,
+    arrivals: BTreeMap<CompactString, VecDeque<(Time, f64)>>,
+}
+
+impl Demand {
+    /// Learns from a run that ended as done.
+    pub(super) fn learn(&mut self, queue: &CompactString, step: &Step, elapsed: Duration) {
+        let actual = (elapsed.as_millis() as f64).max(1.0);
+        let estimate = (step.estimate_ms as f64).max(1.0);
+        let times = self.times.entry(queue.clone()).or_default();
+        let weight = WEIGHT.max(1.0 / f64::from(times.count + 1));
+        if times.count > 0 {
+            let from_estimate = (actual / estimate).ln() - times.bias;
+            let from_mean = (actual / times.mean_ms.max(1.0)).ln();
+            times.estimate_error += weight * (from_estimate.abs() - times.estimate_error);
+            times.mean_error += weight * (from_mean.abs() - times.mean_error);
+        }
+        times.bias += weight * ((actual / estimate).ln() - times.bias);
+        times.mean_ms += weight * (actual - times.mean_ms);
+        times.count += 1;
+    }
+
+    /// Returns the expected run time of a step's task in milliseconds.
+    pub(super) fn expect(&self, queue: &str, step: &Step) -> f64 {
+        let estimate = step.estimate_ms as f64;
+        match self.times.get(queue) {
+            Some(times) if times.count >= LEARNED => {
+                match times.estimate_error < times.mean_error {
+                    true => estimate * times.bias.exp(),
+                    false => times.mean_ms,
+                }
+            }
+            _ => estimate,
+        }
+    }
+
+    /// Returns the latency objective of a job in milliseconds.
+    pub(super) fn objective(&self, row: &JobRow, stretch: f64, constant: Duration) -> i64 {
+        let chain = self.chain(row, |_, _| true);
+        (stretch * chain) as i64 + constant.as_millis() as i64
+    }
+
+    /// Returns the expected time that an occurrence still needs in milliseconds.
+    pub(super) fn rest(&self, row: &JobRow, occurrence: &Occurrence) -> i64 {
+        let open = |index: usize, _: &Step| {
+            let tasks = occurrence.steps.get(index);
+            tasks.is_some_and(|it| it.tasks.iter().any(Task::waiting))
+        };
+        self.chain(row, open) as i64
+    }
+
+    fn chain(&self, row: &JobRow, counts: impl Fn(usize, &Step) -> bool) -> f64 {
+        let mut ends: Vec<f64> = Vec::new();
+        for (index, step) in row.job.steps.iter().enumerate() {
+            let begin = step
+                .after
+                .iter()
+                .filter_map(|number| ends.get(*number))
+                .fold(0.0, |a: f64, b| a.max(*b));
+            let time = match counts(index, step) {
+                true => self.expect(&row.queue, step),
+                false => 0.0,
+            };
+            ends.push(begin + time);
+        }
+        ends.into_iter().fold(0.0, f64::max)
+    }
+
+    /// Notes the work of a job that arrived.
+    pub(super) fn arrived(&mut self, row: &JobRow, now: Time) {
+        let work = row.job.steps.iter().filter(|step| !step.lasting);
+        let work = work.map(|step| {
+            let time = self.expect(&row.queue, step);
+            f64::from(step.count) * step.millicores as f64 * time / 1e6
+        });
+        let work: f64 = work.sum();
+        let arrivals = self.arrivals.entry(row.queue.clone()).or_default();
+        arrivals.push_back((now, work));
+    }
+
+    /// Returns the cores that a queue's arrivals of the last `span` would keep busy.
+    pub(super) fn rate(&self, queue: &str, span: Duration, now: Time) -> f64 {
+        let Some(arrivals) = self.arrivals.get(queue) else {
+            return 0.0;
+        };
+        let recent = arrivals.iter().rev();
+        let recent = recent.take_while(|(time, _)| now.saturating_sub(*time) <= span);
+        recent.map(|(_, work)| work).sum::<f64>() / span.as_secs_f64()
+    }
+}
+
+impl Batch {
+    pub(super) fn demand_tick(&mut self, now: Time) {
+        for arrivals in self.demand.arrivals.values_mut() {
+            while arrivals
+                .front()
+                .is_some_and(|(time, _)| now.saturating_sub(*time) > WINDOW)
+            {
+                arrivals.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -0,0 +1,188 @@
+//! Choice of a worker for each ready task.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use crate::batch::Batch;
+use crate::batch::Phase;
+use crate::batch::Size;
+use crate::batch::Step;
+use crate::batch::TaskId;
+use crate::batch::WorkerId;
+use crate::batch::job::Rank;
+use crate::batch::task::Status;
+use crate::batch::worker::RunState;
+use crate::batch::worker::Stage;
+use crate::batch::worker::Worker;
+use crate::id::PoolId;
+use crate::id::Time;
+
+/// Tasks that find no room before a pass over a pool ends.
+const MISSES: usize = 16;
+
+impl Batch {
+    /// Places ready tasks of the pools in which something changed.
+    pub(super) fn place(&mut self, now: Time) {
+        while let Some(pool) = self.stale.pop_first() {
+            self.place_pool(&pool, now);
+        }
+    }
+
+    fn place_pool(&mut self, pool: &PoolId, now: Time) {
+        let mut misses = 0;
+        let mut placed = Vec::new();
+        let Some(ready) = self.ready.get(pool) else {
+            return;
+        };
+        let ranks: Vec<Rank> = ready.iter().take(MISSES * 16).cloned().collect();
+        for rank in ranks {
+            if misses >= MISSES {
+                break;
+            }
+            match self.place_task(&rank.task, now) {
+                true => placed.push(rank),
+                false => misses += 1,
+            }
+        }
+        if let Some(ready) = self.ready.get_mut(pool) {
+            for rank in placed {
+                ready.remove(&rank);
+            }
+        }
+    }
+
+    /// Reserves room for a task, or for its whole gang; returns whether it did.
+    fn place_task(&mut self, task: &TaskId, now: Time) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return true;
+        };
+        let Some(step) = job.step(task.step) else {
+            return true;
+        };
+        let step = step.clone();
+        let count = match step.gang {
+            true => step.count,
+            false => 1,
+        };
+        let mut chosen: Vec<(TaskId, WorkerId)> = Vec::new();
+        let mut run = 0;
+        for offset in 0..count {
+            let member = TaskId {
+                index: task.index + offset,
+                ..task.clone()
+            };
+            let worker = self.choose(&member, &step, &chosen, now);
+            let state = self.jobs.get(&task.job).and_then(|job| job.task(&member));
+            let (Some(worker), Some(state)) = (worker, state) else {
+                return false;
+            };
+            run = run.max(state.run + 1);
+            chosen.push((member, worker));
+        }
+        let version = self.touch(&task.job);
+        for (member, worker) in chosen {
+            self.reserve(&member, &worker, (run, version), now);
+        }
+        true
+    }
+
+    fn reserve(&mut self, task: &TaskId, worker: &WorkerId, (run, version): (u32, u64), now: Time) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(step) = job.step(task.step).cloned() else {
+            return;
+        };
+        job.phase = Phase::Active;
+        if let Some(state) = job.task_mut(task) {
+            state.run = run;
+            state.queued = false;
+            state.status = Status::Recording {
+                worker: worker.clone(),
+                version,
+            };
+        }
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.insert(task.clone(), RunState::new(run, &step, Stage::Reserved, now));
+        }
+    }
+
+    fn choose(
+        &self,
+        task: &TaskId,
+        step: &Step,
+        chosen: &[(TaskId, WorkerId)],
+        now: Time,
+    ) -> Option<WorkerId> {
+        let job = self.jobs.get(&task.job)?;
+        let state = job.task(task)?;
+        if state.retry > now {
+            return None;
+        }
+        let mut taken: BTreeMap<&WorkerId, u64> = BTreeMap::new();
+        for (_, worker) in chosen {
+            *taken.entry(worker).or_default() += 1;
+        }
+        let fits = |id: &WorkerId, worker: &Worker| {
+            let reserved = scaled(step.size(), taken.get(id).copied().unwrap_or(0));
+            worker.entry.pool == job.pool
+                && worker.usable(now)
+                && step.size().fits(worker.free().minus(reserved))
+                && (step.requires.is_empty() || worker.entry.labels.contains(&step.requires))
+                && (step.spread == 0 || self.siblings(worker, task, &taken) < step.spread)
+        };
+        let rack = chosen
+            .first()
+            .filter(|_| step.same_rack)
+            .and_then(|(_, id)| self.workers.get(id));
+        self.workers
+            .iter()
+            .filter(|(id, worker)| fits(id, worker))
+            .min_by_key(|(id, worker)| {
+                let shunned = state.shun.as_ref() == Some(*id);
+                let far = !step.affinity.is_empty() && !worker.entry.labels.contains(&step.affinity);
+                let apart = rack.is_some_and(|it| it.entry.labels != worker.entry.labels);
+                (shunned, far, apart, worker.streak, crowding(step, worker))
+            })
+            .map(|(id, _)| id.clone())
+    }
+
+    /// Counts the tasks of a task's step and occurrence on a worker.
+    fn siblings(&self, worker: &Worker, task: &TaskId, taken: &BTreeMap<&WorkerId, u64>) -> u32 {
+        let first = TaskId {
+            index: 0,
+            ..task.clone()
+        };
+        let last = TaskId {
+            index: u32::MAX,
+            ..task.clone()
+        };
+        let there = worker.runs.range(first..=last).count() as u32;
+        there + taken.get(&worker.entry.id).copied().unwrap_or(0) as u32
+    }
+}
+
+/// Orders workers by how well a task suits them: serving and filling tasks keep
+/// apart, and the other ones gather on the workers that are in use anyway.
+fn crowding(step: &Step, worker: &Worker) -> (u64, bool, Reverse<u64>) {
+    let serving = worker.runs.values().filter(|run| run.goal_ms > 0).count() as u64;
+    let filling = worker.runs.values().filter(|run| run.fills).count() as u64;
+    let disturbed = match (step.fills, step.goal_ms > 0) {
+        (true, _) => serving,
+        (_, true) => filling,
+        _ => 0,
+    };
+    (
+        disturbed,
+        !worker.anchored(),
+        Reverse(worker.used.millicores),
+    )
+}
+
+fn scaled(size: Size, count: u64) -> Size {
+    Size {
+        millicores: size.millicores * count,
+        memory_mb: size.memory_mb * count,
+        accelerators: size.accelerators * count,
+    }
+}
--- /dev/null
+++ b/crates/wigeonhinge/src/batch/pools.rs
@@ -0,0 +1,183 @@
+//! Machines, and the orders that move them between pools or take them down.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::batch::Action;
+use crate::batch::Batch;
+use crate::batch::WorkerId;
+use crate::id::PoolId;
+use crate::id::Time;
+use crate::id::VmId;
+use crate::id::ZoneId;
+
+/// Time in which an answer to a machine order is waited for before it is repeated.
+const ORDER_RETRY: Duration = Duration::from_millis(1_200);
+
+/// Time beyond a move or maintenance until the machine counts as back.
+const RETURN_SLACK: Duration = Duration::from_millis(300);
+
+/// Time for which a worker stays reserved for an order that no one asks for any more.
+const HOLD: Duration = Duration::from_millis(600);
+
+/// Time added to the platform's bound between orders of two holders.
+const HANDOVER: Duration = Duration::from_millis(1_500);
+
+/// State of a machine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MachineState {
+    /// Works in its pool.
+    Up,
+    /// Changes its pool.
+    Moving,
+    /// Has its maintenance.
+    Maintenance,
+    /// Does not work.
+    Down,
+}
+
+/// Machine as the platform lists it.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    /// Identifier.
+    pub id: VmId,
+    /// Pool.
+    pub pool: PoolId,
+    /// State.
+    pub state: MachineState,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Worker that is its present life; empty for none.
+    pub worker: WorkerId,
+}
+
+/// Order for a machine.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Order {
+    Move(PoolId),
+    Maintain(u64),
+}
+
+/// Machine with the order that is under way.
+#[derive(Debug)]
+pub(super) struct Held {
+    pub(super) machine: Machine,
+    /// Order and when it was sent.
+    pub(super) order: Option<(Order, Time)>,
+    /// When an accepted order is over.
+    pub(super) back: Time,
+}
+
+impl Held {
+    /// Returns whether an order is under way.
+    pub(super) fn busy(&self, now: Time) -> bool {
+        let pending = |(_, sent): &(Order, Time)| now.saturating_sub(*sent) < ORDER_RETRY;
+        now < self.back || self.order.as_ref().is_some_and(pending)
+    }
+
+    /// Returns whether it is down or may be.
+    pub(super) fn down(&self, now: Time) -> bool {
+        self.busy(now) || self.order.is_some() || self.machine.state != MachineState::Up
+    }
+}
+
+impl Batch {
+    /// Returns whether machine orders of a predecessor are certainly over.
+    pub(super) fn may_order(&self, now: Time) -> bool {
+        now >= self.started + self.bounds.order_lease + HANDOVER
+    }
+
+    pub(super) fn inventory(&mut self, list: Vec<Machine>, now: Time) {
+        let mut listed = BTreeSet::new();
+        let mut ended = Vec::new();
+        for machine in list {
+            listed.insert(machine.id.clone());
+            match self.machines.get_mut(&machine.id) {
+                Some(held) => {
+                    let before = std::mem::replace(&mut held.machine, machine);
+                    let ordered = matches!(
+                        held.machine.state,
+                        MachineState::Moving | MachineState::Maintenance
+                    );
+                    let other = held.machine.worker != before.worker;
+                    if other && (ordered || !held.machine.worker.is_empty()) {
+                        ended.push(before.worker);
+                    }
+                }
+                None => {
+                    let id = machine.id.clone();
+                    let held = Held {
+                        machine,
+                        order: None,
+                        back: Time::ZERO,
+                    };
+                    self.machines.insert(id, held);
+                }
+            }
+        }
+        self.machines.retain(|id, _| listed.contains(id));
+        for worker in ended {
+            self.life_ended(&worker, now);
+        }
+        for worker in self.workers.values_mut() {
+            if worker.held && now.saturating_sub(worker.held_at) > HOLD {
+                worker.held = false;
+                self.stale.insert(worker.entry.pool.clone());
+            }
+        }
+    }
+
+    /// Gives up the runs of a worker whose machine has another life.
+    fn life_ended(&mut self, id: &WorkerId, now: Time) {
+        self.forget_runs(id, now);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.listed = false;
+            worker.absent = true;
+        }
+        self.drop_absent(now);
+    }
+
+    pub(super) fn order(&mut self, id: &VmId, order: Order, now: Time) {
+        let Some(held) = self.machines.get_mut(id) else {
+            return;
+        };
+        held.order = Some((order.clone(), now));
+        let machine = id.clone();
+        self.actions.push(match order {
+            Order::Move(pool) => Action::Move { machine, pool },
+            Order::Maintain(wave) => Action::Maintain { machine, wave },
+        });
+    }
+
+    pub(super) fn ordered(&mut self, id: &VmId, done: bool, now: Time) {
+        let Some(held) = self.machines.get_mut(id) else {
+            return;
+        };
+        if !done {
+            // The same order is repeated once its time is over; it is idempotent.
+            return;
+        }
+        let Some((order, _)) = held.order.take() else {
+            return;
+        };
+        let time = match &order {
+            Order::Move(_) => self.bounds.migrate,
+            Order::Maintain(_) => self.bounds.maintenance,
+        };
+        held.back = now + time + RETURN_SLACK;
+        match order {
+            Order::Move(pool) => held.machine.pool = pool,
+            Order::Maintain(wave) => self.upkeep.done(wave, id),
+        }
+    }
+
+    /// Moves machines to the pools whose work waits.
+    pub(super) fn balance(&mut self, now: Time) {
+        let _ = now;
+    }
+
+    /// Slows filling tasks beside tasks that serve and near their goal.
+    pub(super) fn pace_fillers(&mut self, now: Time) {
+        let _ = now;
+    }
+}
--- /dev/null
+++ b/crates/wigeonhinge/src/batch/spec.rs
@@ -0,0 +1,237 @@
+//! Jobs, queues, pools and workers as they were described.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::batch::WorkerId;
+use crate::id::PoolId;
+use crate::id::VmId;
+use crate::id::ZoneId;
+
+/// Configuration: queues and pools.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    /// Version; a later configuration has a higher one.
+    pub version: u64,
+    /// Queues.
+    pub queues: Vec<Queue>,
+    /// Pools.
+    pub pools: Vec<PoolRule>,
+    /// Largest body of a request in bytes.
+    pub body_bytes: usize,
+}
+
+impl Catalog {
+    /// Returns a queue by its name.
+    pub fn queue(&self, name: &str) -> Option<&Queue> {
+        self.queues.iter().find(|queue| queue.name == name)
+    }
+
+    /// Returns the queue of a request, by its host and the longest prefix of its path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Queue> {
+        self.queues
+            .iter()
+            .filter(|queue| queue.host == host && path.starts_with(queue.prefix.as_str()))
+            .max_by_key(|queue| queue.prefix.len())
+    }
+
+    /// Returns whether machines of a pool are off and free of charge.
+    pub fn parked(&self, pool: &str) -> bool {
+        self.pools
+            .iter()
+            .any(|rule| rule.name == pool && rule.parked)
+    }
+}
+
+/// Queue of jobs.
+#[derive(Clone, Debug)]
+pub struct Queue {
+    /// Name.
+    pub name: CompactString,
+    /// Host of its requests.
+    pub host: CompactString,
+    /// Prefix of its paths.
+    pub prefix: CompactString,
+    /// Pool whose workers run its tasks.
+    pub pool: PoolId,
+    /// Priority; 0 comes first.
+    pub priority: u32,
+    /// Starts of a task that may fail.
+    pub attempts: u32,
+    /// Factor on a job's longest chain of work in its latency objective.
+    pub stretch: f64,
+    /// Constant part of a job's latency objective.
+    pub objective: Duration,
+}
+
+/// Rule of a pool.
+#[derive(Clone, Debug)]
+pub struct PoolRule {
+    /// Name.
+    pub name: PoolId,
+    /// Whether its workers reject what exceeds their capacity.
+    pub guarded: bool,
+    /// Whether its machines are off and free of charge.
+    pub parked: bool,
+}
+
+/// Size of a task, or capacity of a worker.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Size {
+    /// Thousandths of a core.
+    pub millicores: u64,
+    /// Memory in MB.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub accelerators: u64,
+}
+
+impl Size {
+    /// Returns whether a task of this size fits into `free`.
+    pub fn fits(self, free: Self) -> bool {
+        self.millicores <= free.millicores
+            && self.memory_mb <= free.memory_mb
+            && self.accelerators <= free.accelerators
+    }
+
+    /// Returns the sum.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores + other.millicores,
+            memory_mb: self.memory_mb + other.memory_mb,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// Returns the difference, at least zero.
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.saturating_sub(other.millicores),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
+
+/// Worker as the registry lists it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct WorkerEntry {
+    /// Identifier.
+    pub id: WorkerId,
+    /// Address as `IP:port`.
+    pub address: CompactString,
+    /// Pool.
+    pub pool: PoolId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Capacity.
+    pub capacity: Size,
+    /// Labels: its kind and its rack.
+    pub labels: Vec<CompactString>,
+    /// Whether it finishes what it runs and takes no new work.
+    pub draining: bool,
+    /// Unix milliseconds at which this incarnation began; 0 if unknown.
+    pub born: u64,
+    /// Machine whose life it is; empty if unknown.
+    pub machine: VmId,
+}
+
+/// Job as its caller described it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobSpec {
+    /// What its tasks run.
+    #[serde(default)]
+    pub spec: CompactString,
+    /// Steps.
+    #[serde(default)]
+    pub steps: Vec<Step>,
+    /// Times that the steps run; 0 stands for once, at once.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub repeat: u32,
+    /// Unix milliseconds at which the first occurrence is due.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub start_ms: i64,
+    /// Milliseconds from one occurrence to the next.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub interval_ms: i64,
+}
+
+/// Step of a job.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Step {
+    /// Tasks.
+    pub count: u32,
+    /// Thousandths of a core that a task requests.
+    #[serde(skip_serializing_if = "is_default")]
+    pub millicores: u64,
+    /// Memory in MB that a task requests.
+    #[serde(skip_serializing_if = "is_default")]
+    pub memory_mb: u64,
+    /// Accelerators that a task requests.
+    #[serde(skip_serializing_if = "is_default")]
+    pub accelerators: u64,
+    /// Rough estimate of a task's duration in milliseconds.
+    #[serde(skip_serializing_if = "is_default")]
+    pub estimate_ms: u64,
+    /// Numbers of the steps that must be done first.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub after: Vec<usize>,
+    /// Whether tasks save their progress.
+    #[serde(skip_serializing_if = "is_default")]
+    pub checkpointing: bool,
+    /// Whether the tasks work only together.
+    #[serde(skip_serializing_if = "is_default")]
+    pub gang: bool,
+    /// Whether the tasks are slower on more than one rack.
+    #[serde(skip_serializing_if = "is_default")]
+    pub same_rack: bool,
+    /// Label that a worker must have; empty for none.
+    #[serde(skip_serializing_if = "CompactString::is_empty")]
+    pub requires: CompactString,
+    /// Rack on which the tasks are faster; empty for none.
+    #[serde(skip_serializing_if = "CompactString::is_empty")]
+    pub affinity: CompactString,
+    /// Most tasks of the step on one worker; 0 for no limit.
+    #[serde(skip_serializing_if = "is_default")]
+    pub spread: u32,
+    /// Whether copies of a task may run at the same time.
+    #[serde(skip_serializing_if = "is_default")]
+    pub duplicates: bool,
+    /// Whether the tasks run until the job is cancelled.
+    #[serde(skip_serializing_if = "is_default")]
+    pub lasting: bool,
+    /// What the tasks run, by name.
+    #[serde(skip_serializing_if = "CompactString::is_empty")]
+    pub image: CompactString,
+    /// Objective of the tail of the response times in milliseconds; 0 for none.
+    #[serde(skip_serializing_if = "is_default")]
+    pub goal_ms: u64,
+    /// Whether the tasks use only the capacity that others leave.
+    #[serde(skip_serializing_if = "is_default")]
+    pub fills: bool,
+    /// Tasks that may be unavailable at the same time as a result of orders.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub may_miss: Option<u32>,
+}
+
+impl Step {
+    /// Returns what a task takes from a worker's capacity.
+    pub fn size(&self) -> Size {
+        Size {
+            millicores: match self.fills {
+                true => 0,
+                false => self.millicores,
+            },
+            memory_mb: self.memory_mb,
+            accelerators: self.accelerators,
+        }
+    }
+}
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
--- /dev/null
+++ b/crates/wigeonhinge/src/batch/upkeep.rs
@@ -0,0 +1,228 @@
+//! Maintenance waves: each machine once, within the wave's limit and the budgets of its tasks.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::batch::Action;
+use crate::batch::Batch;
+use crate::batch::MachineState;
+use crate::batch::TaskId;
+use crate::batch::WorkerId;
+use crate::batch::pools::Order;
+use crate::batch::worker::Stage;
+use crate::id::Time;
+use crate::id::VmId;
+
+/// Machines of a wave that are emptied beside those that are down for it.
+const AHEAD: usize = 2;
+
+/// Time before a wave's deadline at which short runs are no longer waited for.
+const URGENT: Duration = Duration::from_secs(4);
+
+/// Request that machines have their maintenance.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Wave {
+    /// Number.
+    pub number: u64,
+    /// Machines.
+    pub machines: Vec<VmId>,
+    /// Time that is left.
+    pub remaining: Duration,
+    /// Machines that may be down for it at the same time.
+    pub limit: usize,
+    /// Machines that had it.
+    pub done: BTreeSet<VmId>,
+    /// Whether all machines had it.
+    pub completed: bool,
+}
+
+/// Waves that are under way.
+#[derive(Debug, Default)]
+pub(super) struct Upkeep {
+    waves: BTreeMap<u64, Active>,
+}
+
+#[derive(Debug)]
+struct Active {
+    wave: Wave,
+    due: Time,
+    published: bool,
+}
+
+impl Upkeep {
+    pub(super) fn add(&mut self, wave: Wave, now: Time) {
+        let due = now + wave.remaining;
+        let published = wave.completed;
+        self.waves.entry(wave.number).or_insert(Active {
+            wave,
+            due,
+            published,
+        });
+    }
+
+    /// Returns whether a machine still waits for its maintenance.
+    pub(super) fn wants(&self, machine: &VmId) -> bool {
+        self.waves.values().any(|it| {
+            !it.published && it.wave.machines.contains(machine) && !it.wave.done.contains(machine)
+        })
+    }
+
+    pub(super) fn done(&mut self, wave: u64, machine: &VmId) {
+        if let Some(active) = self.waves.get_mut(&wave) {
+            active.wave.done.insert(machine.clone());
+        }
+    }
+
+    /// Returns the machines of a wave that had their maintenance.
+    pub(super) fn progress(&self, wave: u64) -> BTreeSet<VmId> {
+        let active = self.waves.get(&wave);
+        active.map(|it| it.wave.done.clone()).unwrap_or_default()
+    }
+}
+
+impl Batch {
+    /// Returns the machines of a wave that had their maintenance.
+    pub fn wave_progress(&self, wave: u64) -> BTreeSet<VmId> {
+        self.upkeep.progress(wave)
+    }
+
+    pub(super) fn maintain(&mut self, now: Time) {
+        if self.machines.is_empty() {
+            return;
+        }
+        let numbers: Vec<u64> = self.upkeep.waves.keys().copied().collect();
+        for number in numbers {
+            self.advance(number, now);
+        }
+    }
+
+    fn advance(&mut self, number: u64, now: Time) {
+        let Some(active) = self.upkeep.waves.get(&number) else {
+            return;
+        };
+        if active.published {
+            return;
+        }
+        let limit = active.wave.limit.max(1);
+        let urgent = now + URGENT >= active.due;
+        let members = active.wave.machines.iter();
+        let open: Vec<VmId> = members
+            .filter(|it| !active.wave.done.contains(*it) && self.machines.contains_key(*it))
+            .cloned()
+            .collect();
+        let down = active.wave.machines.iter();
+        let down = down
+            .filter(|it| self.machines.get(*it).is_some_and(|held| held.down(now)))
+            .count();
+        if open.is_empty() {
+            self.publish(number);
+            return;
+        }
+        let mut order: Vec<(u64, VmId)> = open
+            .iter()
+            .map(|machine| (self.cost(machine), machine.clone()))
+            .collect();
+        order.sort();
+        let mut slots = limit.saturating_sub(down);
+        let mut prepared = 0;
+        for (_, machine) in order {
+            if prepared >= limit + AHEAD {
+                break;
+            }
+            let Some(held) = self.machines.get(&machine) else {
+                continue;
+            };
+            if held.busy(now) || held.machine.state != MachineState::Up {
+                continue;
+            }
+            let worker = held.machine.worker.clone();
+            prepared += 1;
+            if self.clear(&worker, urgent, now) && slots > 0 && self.may_order(now) {
+                slots -= 1;
+                self.order(&machine, Order::Maintain(number), now);
+            }
+        }
+    }
+
+    /// Publishes that a wave is complete.
+    fn publish(&mut self, number: u64) {
+        if let Some(active) = self.upkeep.waves.get_mut(&number) {
+            active.published = true;
+            self.actions.push(Action::Publish {
+                wave: number,
+                completed: true,
+            });
+        }
+    }
+
+    /// Returns what emptying a machine would cost; machines without runs come first.
+    fn cost(&self, machine: &VmId) -> u64 {
+        let worker = self.machines.get(machine).map(|held| &held.machine.worker);
+        let Some(worker) = worker.and_then(|id| self.workers.get(id)) else {
+            return 0;
+        };
+        let held = u64::from(!worker.held);
+        worker
+            .runs
+            .values()
+            .map(|run| match run.lasting {
+                true => 10_000,
+                false => 100 + u64::from(100 - run.percent.min(100)),
+            })
+            .sum::<u64>()
+            + held
+    }
+
+    /// Empties a worker; returns whether its machine may go down now.
+    ///
+    /// Short runs are left to end, unless the order is urgent.
+    pub(super) fn clear(&mut self, id: &WorkerId, urgent: bool, now: Time) -> bool {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return true;
+        };
+        worker.held = true;
+        worker.held_at = worker.held_at.max(now);
+        let runs: Vec<(TaskId, bool, Stage)> = worker
+            .runs
+            .iter()
+            .map(|(task, run)| (task.clone(), run.lasting, run.stage))
+            .collect();
+        let mut free = true;
+        for (task, lasting, stage) in runs {
+            if matches!(stage, Stage::Stopping(..)) {
+                free = false;
+                continue;
+            }
+            if lasting && self.may_miss(&task) {
+                self.stop(id, &task);
+            }
+            if lasting || !urgent {
+                free = false;
+            }
+        }
+        free
+    }
+
+    /// Returns whether an order may end a lasting task's run now.
+    fn may_miss(&self, task: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return true;
+        };
+        let Some(limit) = job.step(task.step).map(|step| step.may_miss) else {
+            return true;
+        };
+        let limit = limit.unwrap_or(1).max(1) as usize;
+        let siblings = job.tasks().filter(|(id, _)| {
+            id.occurrence == task.occurrence && id.step == task.step && id.index != task.index
+        });
+        let away = siblings.filter(|(id, state)| {
+            let worker = state.worker().and_then(|worker| self.workers.get(worker));
+            let run = worker.and_then(|worker| worker.runs.get(id));
+            !run.is_some_and(|run| {
+                matches!(run.stage, Stage::Confirmed(_)) && run.percent >= 100
+            })
+        });
+        away.count() < limit
+    }
+}
--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -13,10 +13,12 @@
 //! - [`controller`] drives maintenance, moves and inventory edits of a region.
 //! - [`scheduler`] decides on the jobs of a pool.
 //! - [`lease`], [`role`] and [`membership`] divide duties among the live entries.
+//! - [`batch`] decides on jobs of steps and tasks, on pools and on waves of a platform.
 //! - [`outcome`] lists the error kinds of requests and their answers.
 
 pub mod admit;
 pub mod audit;
+pub mod batch;
 pub mod buffer;
 pub mod config;
 pub mod controller;
