--- a/crates/daemon/src/site/lookout.rs
+++ b/crates/daemon/src/site/lookout.rs
@@ -135,10 +135,10 @@
         let _ = self.inbox.send(Message::Lost(reason));
     }
 
-    /// Returns the end of a lease that begins now, and notes it.
-    fn lease(&self) -> Option<u64> {
+    /// Returns the end of the lease; a new one begins now if it is to be extended.
+    fn lease(&self, extend: bool) -> Option<u64> {
         let (millis, read) = self.clock.get()?;
-        if self.extend.get() {
+        if extend {
             let elapsed = clock::now().saturating_sub(read) + batch::LEASE;
             let until = millis + elapsed.as_millis() as u64;
             self.until.set(self.until.get().max(until));
@@ -167,8 +167,10 @@
             false => WAIT,
         };
         let asked = clock::now();
-        let until = lane.lease();
-        if until.is_some() && lane.extend.get() {
+        // An unanswered look may have extended the lease, so a silent worker's is left to end.
+        let extend = lane.extend.get() && !silent;
+        let until = lane.lease(extend);
+        if until.is_some() && extend {
             lane.tell(Event::Extended(lane.authority.worker.clone()));
         }
         let stored = lane.stored.get();
--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -46,6 +46,7 @@
 use crate::site::watcher::Seen;
 use crate::site::watcher::Watch;
 use crate::site::writer;
+use crate::site::writer::Brought;
 use crate::site::writer::Extra;
 
 /// Time between two ticks.
@@ -231,6 +232,11 @@
                 Err(error) => self.unreadable(&item.key, &error.to_string()),
             }
         }
+        for (key, row) in &progress {
+            if let (true, Some(id)) = (row.phase.terminal(), key.strip_prefix(keys::PROGRESS)) {
+                self.batch.restore_ended(id.into(), now);
+            }
+        }
         let mut cancels = Vec::new();
         let mut count = 0;
         for item in stored.inputs.0 {
@@ -296,7 +302,18 @@
                     }
                 }
             }
-            Message::Inputs(items) => items.iter().for_each(|item| self.input(item)),
+            Message::Inputs(items) => {
+                // Jobs come before cancellations, which would find no job otherwise.
+                let cancel = |item: &&Item| item.key.starts_with(keys::CANCELS);
+                items
+                    .iter()
+                    .filter(|item| !cancel(item))
+                    .for_each(|item| self.input(item));
+                items
+                    .iter()
+                    .filter(cancel)
+                    .for_each(|item| self.input(item));
+            }
             Message::Registry(changes) => self.some_workers(changes),
             Message::Workers(items) => self.all_workers(items),
             Message::Waves(items) => self.all_waves(items),
@@ -424,15 +441,23 @@
             return;
         }
         let writes = self.batch.take_writes(writer::ROWS);
-        if writes.is_empty() && self.extras.is_empty() {
+        let expired = match writes.is_empty() {
+            true => self.batch.take_expired(writer::ROWS, clock::now()),
+            false => Vec::new(),
+        };
+        if writes.is_empty() && self.extras.is_empty() && expired.is_empty() {
             return;
         }
         self.writing = true;
         self.written += 1;
-        let extras = std::mem::take(&mut self.extras);
+        let brought = Brought {
+            writes,
+            extras: std::mem::take(&mut self.extras),
+            expired,
+        };
         let term = (self.term.clone(), self.written);
         let shared = Rc::clone(&self.shared);
-        let write = writer::write(shared, term, writes, extras, self.inbox.clone());
+        let write = writer::write(shared, term, brought, self.inbox.clone());
         compio::runtime::spawn(write).detach();
     }
 
--- a/crates/daemon/src/site/watcher.rs
+++ b/crates/daemon/src/site/watcher.rs
@@ -25,7 +25,7 @@
 const RETRY: Duration = Duration::from_millis(100);
 
 /// Pause between two reads of a busy watch on all jobs.
-const PACE: Duration = Duration::from_millis(40);
+const PACE: Duration = Duration::from_millis(120);
 
 /// A watch that starts with a whole read and goes on by changes.
 pub(super) struct Watch {
--- a/crates/daemon/src/site/writer.rs
+++ b/crates/daemon/src/site/writer.rs
@@ -9,7 +9,9 @@
 
 use flume::Sender;
 use slog::warn;
+use wigeonhinge::batch::Phase;
 use wigeonhinge::batch::Write;
+use wigeonhinge::id::JobId;
 use wigeonhinge_platform::store::Commit;
 use wigeonhinge_platform::store::Outcome;
 use wigeonhinge_platform::store::Revision;
@@ -32,15 +34,24 @@
 /// What a write brings beside the rows of jobs.
 pub(super) type Extra = (String, Vec<u8>);
 
+/// Content of a write.
+#[derive(Debug)]
+pub(super) struct Brought {
+    pub(super) writes: Vec<Write>,
+    pub(super) extras: Vec<Extra>,
+    /// Jobs whose state is no longer kept.
+    pub(super) expired: Vec<JobId>,
+}
+
 /// Writes rows and reports the role's new revision.
 pub(super) async fn write(
     shared: Rc<Shared>,
     (term, number): (Term, u64),
-    writes: Vec<Write>,
-    extras: Vec<Extra>,
+    brought: Brought,
     inbox: Sender<Message>,
 ) {
-    let commit = commit(&term, number, &writes, extras);
+    let commit = commit(&term, number, &brought);
+    let writes = brought.writes;
     let message = loop {
         match shared.store.commit(&commit, CALL).await {
             Ok(Outcome::Done(revision)) => break Message::Written(writes, revision),
@@ -68,7 +79,7 @@
     let _ = inbox.send(message);
 }
 
-fn commit(term: &Term, number: u64, writes: &[Write], extras: Vec<Extra>) -> Commit {
+fn commit(term: &Term, number: u64, brought: &Brought) -> Commit {
     let role = keys::ROLE.to_owned();
     let expected: Revision = term.revision;
     let mut commit = Commit {
@@ -76,19 +87,23 @@
         writes: vec![(role, term.value(number), term.lease)],
         removes: Vec::new(),
     };
-    for write in writes {
+    for write in &brought.writes {
         let mut row = write.row.clone();
         if row.phase.terminal() {
             row.ended_ms = Some(clock::wall_ms());
             commit.removes.push(keys::job(&write.job));
-            if row.phase == wigeonhinge::batch::Phase::Canceled {
+            if row.phase == Phase::Canceled {
                 commit.removes.push(keys::cancel(&write.job));
             }
         }
         let value = serde_json::to_vec(&row).unwrap_or_default();
         commit.writes.push((keys::progress(&write.job), value, 0));
     }
-    let extras = extras.into_iter().map(|(key, value)| (key, value, 0));
-    commit.writes.extend(extras);
+    for (key, value) in &brought.extras {
+        commit.writes.push((key.clone(), value.clone(), 0));
+    }
+    for job in &brought.expired {
+        commit.removes.push(keys::progress(job));
+    }
     commit
 }
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -9,8 +9,10 @@
 //! - A run that may exist on a worker is given up when the worker lists no such
 //!   run under the current fence, has a new incarnation, or its lease has ended.
 
+mod balance;
 mod demand;
 mod job;
+mod pace;
 mod place;
 mod pools;
 mod report;
@@ -31,6 +33,7 @@
 use crate::id::Time;
 use crate::id::VmId;
 
+use crate::batch::balance::Needs;
 use crate::batch::demand::Demand;
 use crate::batch::job::Job;
 use crate::batch::job::Rank;
@@ -229,10 +232,13 @@
     stale: BTreeSet<PoolId>,
     workers: BTreeMap<WorkerId, Worker>,
     demand: Demand,
+    needs: Needs,
     upkeep: Upkeep,
     machines: BTreeMap<VmId, pools::Held>,
     /// Terminal rows that wait to be written.
     finals: BTreeMap<JobId, (u64, ProgressRow)>,
+    /// Jobs that ended, by the time at which their state is no longer kept.
+    ended: BTreeMap<JobId, Time>,
     started: Time,
     /// Unix time at `Time::ZERO`, in milliseconds.
     epoch_ms: i64,
@@ -255,9 +261,11 @@
             stale: BTreeSet::new(),
             workers: BTreeMap::new(),
             demand: Demand::default(),
+            needs: Needs::default(),
             upkeep: Upkeep::default(),
             machines: BTreeMap::new(),
             finals: BTreeMap::new(),
+            ended: BTreeMap::new(),
             started: now,
             epoch_ms,
             next_version: 1,
@@ -271,12 +279,27 @@
         self.accept(row, progress, now);
     }
 
+    /// Notes a job that ended before this term.
+    pub fn restore_ended(&mut self, job: JobId, now: Time) {
+        self.ended.insert(job, now + self.bounds.retention);
+    }
+
+    /// Returns up to `limit` ended jobs whose state is no longer kept.
+    pub fn take_expired(&mut self, limit: usize, now: Time) -> Vec<JobId> {
+        let expired = self.ended.iter().filter(|(_, until)| **until < now);
+        let expired: Vec<JobId> = expired.map(|(job, _)| job.clone()).take(limit).collect();
+        for job in &expired {
+            self.ended.remove(job);
+        }
+        expired
+    }
+
     /// Takes an event and returns what to do.
     pub fn handle(&mut self, event: Event, now: Time) -> Vec<Action> {
         match event {
             Event::Configure(catalog) => self.configure(catalog, now),
             Event::Accept(row) => self.accept(row, None, now),
-            Event::Cancel(job) => self.cancel(&job),
+            Event::Cancel(job) => self.cancel(&job, now),
             Event::Workers(entries) => self.register(entries, now),
             Event::Report(worker, report) => self.report(&worker, report, now),
             Event::Extended(worker) => self.extended(&worker, now),
@@ -351,8 +374,9 @@
     /// Returns whether most of the workers answered lately.
     pub fn reaches_most(&self, now: Time) -> bool {
         let heard = |worker: &&Worker| now.saturating_sub(worker.heard) < CONTACT;
-        let count = self.workers.values().filter(heard).count();
-        count * 2 > self.workers.len()
+        let listed = self.workers.values().filter(|worker| !worker.absent);
+        let count = listed.clone().filter(heard).count();
+        count * 2 > listed.count()
     }
 
     /// Returns whether a worker is listed or may still run something.
--- a/crates/wigeonhinge/src/batch/demand.rs
+++ b/crates/wigeonhinge/src/batch/demand.rs
@@ -22,6 +22,12 @@
 /// Time for which arrivals are remembered.
 const WINDOW: Duration = Duration::from_secs(3);
 
+/// Windows from which a rate may be read, in seconds.
+const WINDOWS: [f64; 2] = [0.6, 1.3];
+
+/// Arrivals that make a rate trustworthy.
+const ENOUGH: usize = 6;
+
 /// Run times of a queue.
 #[derive(Debug, Default)]
 struct Times {
@@ -39,6 +45,8 @@
 pub(super) struct Demand {
     times: BTreeMap<CompactString, Times>,
     arrivals: BTreeMap<CompactString, VecDeque<(Time, f64)>>,
+    /// When the first work arrived.
+    first: Option<Time>,
 }
 
 impl Demand {
@@ -113,18 +121,49 @@
             f64::from(step.count) * step.millicores as f64 * time / 1e6
         });
         let work: f64 = work.sum();
-        let arrivals = self.arrivals.entry(row.queue.clone()).or_default();
-        arrivals.push_back((now, work));
+        if work > 0.0 {
+            self.first.get_or_insert(now);
+            let arrivals = self.arrivals.entry(row.queue.clone()).or_default();
+            arrivals.push_back((now, work));
+        }
+    }
+
+    /// Returns whether work was seen for long enough to tell which pools are idle.
+    pub(super) fn known(&self, now: Time) -> bool {
+        self.first
+            .is_some_and(|first| now.saturating_sub(first) > WINDOW)
     }
 
-    /// Returns the cores that a queue's arrivals of the last `span` would keep busy.
-    pub(super) fn rate(&self, queue: &str, span: Duration, now: Time) -> f64 {
+    /// Returns the cores that a queue is expected to keep busy `lead` seconds from now.
+    ///
+    /// The rate comes from the shortest window that holds enough arrivals; a rise
+    /// against the window before it is taken to go on.
+    pub(super) fn forecast(&self, queue: &str, lead: f64, now: Time) -> f64 {
         let Some(arrivals) = self.arrivals.get(queue) else {
             return 0.0;
         };
-        let recent = arrivals.iter().rev();
-        let recent = recent.take_while(|(time, _)| now.saturating_sub(*time) <= span);
-        recent.map(|(_, work)| work).sum::<f64>() / span.as_secs_f64()
+        let within = |from: f64, to: f64| {
+            let mut count = 0;
+            let mut work = 0.0;
+            for (time, cores) in arrivals {
+                let age = now.saturating_sub(*time).as_secs_f64();
+                if age >= from && age < to {
+                    count += 1;
+                    work += cores;
+                }
+            }
+            (count, work / (to - from))
+        };
+        for window in WINDOWS {
+            let (count, rate) = within(0.0, window);
+            if count >= ENOUGH {
+                let (_, before) = within(window, 2.0 * window);
+                let rise = (rate - before) / window * lead;
+                return rate + rise.clamp(0.0, rate);
+            }
+        }
+        let (count, rate) = within(0.0, WINDOW.as_secs_f64());
+        rate * count as f64 / ENOUGH as f64
     }
 }
 
--- a/crates/wigeonhinge/src/batch/job.rs
+++ b/crates/wigeonhinge/src/batch/job.rs
@@ -219,7 +219,7 @@
     pub(super) fn accept(&mut self, row: JobRow, progress: Option<ProgressRow>, now: Time) {
         let id = row.id.clone();
         let terminal = progress.as_ref().is_some_and(|it| it.phase.terminal());
-        if self.jobs.contains_key(&id) || self.finals.contains_key(&id) || terminal {
+        if self.jobs.contains_key(&id) || self.ended.contains_key(&id) || terminal {
             return;
         }
         self.demand.arrived(&row, now);
@@ -231,7 +231,7 @@
         self.jobs.insert(id.clone(), job);
         self.adopt_runs(&id, now);
         self.enqueue(&id, now);
-        self.complete(&id);
+        self.complete(&id, now);
     }
 
     /// Follows the job's queue to the pool that the configuration names.
@@ -344,22 +344,22 @@
     }
 
     /// Ends a job whose tasks are all done.
-    pub(super) fn complete(&mut self, id: &JobId) -> Option<u64> {
+    pub(super) fn complete(&mut self, id: &JobId, now: Time) -> Option<u64> {
         let job = self.jobs.get(id)?;
         match job.complete() && !job.row.job.steps.iter().any(|step| step.lasting) {
-            true => Some(self.finish(id, Phase::Completed)),
+            true => Some(self.finish(id, Phase::Completed, now)),
             false => None,
         }
     }
 
-    pub(super) fn cancel(&mut self, id: &JobId) {
+    pub(super) fn cancel(&mut self, id: &JobId, now: Time) {
         if self.jobs.contains_key(id) {
-            self.finish(id, Phase::Canceled);
+            self.finish(id, Phase::Canceled, now);
         }
     }
 
     /// Ends a job: stops its runs and leaves its last row to be written.
-    pub(super) fn finish(&mut self, id: &JobId, phase: Phase) -> u64 {
+    pub(super) fn finish(&mut self, id: &JobId, phase: Phase, now: Time) -> u64 {
         let version = self.touch(id);
         self.dirty.remove(id);
         let Some(job) = self.jobs.remove(id) else {
@@ -380,6 +380,7 @@
             tasks: Vec::new(),
         };
         self.finals.insert(id.clone(), (version, row));
+        self.ended.insert(id.clone(), now + self.bounds.retention);
         version
     }
 
--- a/crates/wigeonhinge/src/batch/place.rs
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -107,7 +107,7 @@
         }
     }
 
-    fn choose(
+    pub(super) fn choose(
         &self,
         task: &TaskId,
         step: &Step,
--- a/crates/wigeonhinge/src/batch/pools.rs
+++ b/crates/wigeonhinge/src/batch/pools.rs
@@ -66,6 +66,8 @@
     pub(super) order: Option<(Order, Time)>,
     /// When an accepted order is over.
     pub(super) back: Time,
+    /// Pool to which it moves once it is empty.
+    pub(super) plan: Option<PoolId>,
 }
 
 impl Held {
@@ -75,6 +77,14 @@
         now < self.back || self.order.as_ref().is_some_and(pending)
     }
 
+    /// Returns whether it works and nothing is decided for it.
+    pub(super) fn free(&self, now: Time) -> bool {
+        self.machine.state == MachineState::Up
+            && self.order.is_none()
+            && self.plan.is_none()
+            && now >= self.back
+    }
+
     /// Returns whether it is down or may be.
     pub(super) fn down(&self, now: Time) -> bool {
         self.busy(now) || self.order.is_some() || self.machine.state != MachineState::Up
@@ -110,6 +120,7 @@
                         machine,
                         order: None,
                         back: Time::ZERO,
+                        plan: None,
                     };
                     self.machines.insert(id, held);
                 }
@@ -170,14 +181,4 @@
             Order::Maintain(wave) => self.upkeep.done(wave, id),
         }
     }
-
-    /// Moves machines to the pools whose work waits.
-    pub(super) fn balance(&mut self, now: Time) {
-        let _ = now;
-    }
-
-    /// Slows filling tasks beside tasks that serve and near their goal.
-    pub(super) fn pace_fillers(&mut self, now: Time) {
-        let _ = now;
-    }
 }
--- a/crates/wigeonhinge/src/batch/report.rs
+++ b/crates/wigeonhinge/src/batch/report.rs
@@ -195,7 +195,7 @@
                 state.fails += 1;
                 if state.fails >= attempts {
                     self.note(format!("jobs: {task} failed {attempts} times"));
-                    return Some(self.finish(&task.job, Phase::Failed));
+                    return Some(self.finish(&task.job, Phase::Failed, now));
                 }
             }
             End::Done | End::Failed | End::Interrupted => {}
@@ -231,7 +231,7 @@
                 tasks.done = tasks.tasks.iter().filter(|it| it.done()).count();
             }
         }
-        if let Some(version) = self.complete(&task.job) {
+        if let Some(version) = self.complete(&task.job, now) {
             return version;
         }
         let version = self.touch(&task.job);
--- a/crates/wigeonhinge/src/batch/upkeep.rs
+++ b/crates/wigeonhinge/src/batch/upkeep.rs
@@ -11,6 +11,7 @@
 use crate::batch::WorkerId;
 use crate::batch::pools::Order;
 use crate::batch::worker::Stage;
+use crate::id::PoolId;
 use crate::id::Time;
 use crate::id::VmId;
 
@@ -20,6 +21,15 @@
 /// Time before a wave's deadline at which short runs are no longer waited for.
 const URGENT: Duration = Duration::from_secs(4);
 
+/// Time from the end of an order to the worker's first report.
+const RETURN: Duration = Duration::from_millis(700);
+
+/// Factor on the time that a wave's rest needs, from which busy machines are emptied too.
+const PRESSED: f64 = 1.6;
+
+/// Cost from which a machine counts as busy.
+const BUSY: u64 = 100;
+
 /// Request that machines have their maintenance.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Wave {
@@ -119,6 +129,9 @@
             self.publish(number);
             return;
         }
+        let rounds = open.len().div_ceil(limit) as u32;
+        let needed = (self.bounds.maintenance + RETURN) * (rounds + 1);
+        let pressed = now + needed.mul_f64(PRESSED) + URGENT >= active.due;
         let mut order: Vec<(u64, VmId)> = open
             .iter()
             .map(|machine| (self.cost(machine), machine.clone()))
@@ -126,14 +139,23 @@
         order.sort();
         let mut slots = limit.saturating_sub(down);
         let mut prepared = 0;
-        for (_, machine) in order {
+        let mut emptied = BTreeSet::new();
+        for (cost, machine) in order {
             if prepared >= limit + AHEAD {
                 break;
             }
             let Some(held) = self.machines.get(&machine) else {
                 continue;
             };
-            if held.busy(now) || held.machine.state != MachineState::Up {
+            if held.busy(now) || held.machine.state != MachineState::Up || held.plan.is_some() {
+                continue;
+            }
+            // Without pressure a pool empties one machine at a time, beside its idle ones.
+            let busy = cost >= BUSY;
+            if busy && !pressed && !emptied.insert(held.machine.pool.clone()) {
+                continue;
+            }
+            if busy && !pressed && self.strained(&held.machine.pool) {
                 continue;
             }
             let worker = held.machine.worker.clone();
@@ -145,6 +167,11 @@
         }
     }
 
+    /// Returns whether tasks of a pool wait for room.
+    fn strained(&self, pool: &PoolId) -> bool {
+        self.ready.get(pool).is_some_and(|ready| !ready.is_empty())
+    }
+
     /// Publishes that a wave is complete.
     fn publish(&mut self, number: u64) {
         if let Some(active) = self.upkeep.waves.get_mut(&number) {
@@ -194,7 +221,8 @@
                 free = false;
                 continue;
             }
-            if lasting && self.may_miss(&task) {
+            if lasting && self.may_miss(&task) && self.has_place(&task, now) {
+                self.note(format!("waves: {task} leaves worker {id}"));
                 self.stop(id, &task);
             }
             if lasting || !urgent {
@@ -204,6 +232,12 @@
         free
     }
 
+    /// Returns whether a task would find room on another worker.
+    fn has_place(&self, task: &TaskId, now: Time) -> bool {
+        let step = self.jobs.get(&task.job).and_then(|it| it.step(task.step));
+        step.is_none_or(|step| self.choose(task, step, &[], now).is_some())
+    }
+
     /// Returns whether an order may end a lasting task's run now.
     fn may_miss(&self, task: &TaskId) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
