--- a/crates/daemon/src/site/lookout.rs
+++ b/crates/daemon/src/site/lookout.rs
@@ -75,6 +75,8 @@
     changed: event_listener::Event,
     /// Whether leases may be extended.
     extend: Rc<Cell<bool>>,
+    /// Whether the last look had no answer.
+    silent: Cell<bool>,
 }
 
 /// Starts to talk to a worker.
@@ -98,6 +100,7 @@
         stored: Cell::new(0),
         changed: event_listener::Event::new(),
         extend,
+        silent: Cell::new(false),
     });
     let tasks = [
         compio::runtime::spawn(look(Rc::clone(&lane), address)),
@@ -135,10 +138,13 @@
         let _ = self.inbox.send(Message::Lost(reason));
     }
 
-    /// Returns the end of the lease; a new one begins now if it is to be extended.
-    fn lease(&self, extend: bool) -> Option<u64> {
+    /// Returns the end of the lease; a new one begins now if it may be extended.
+    ///
+    /// An unanswered look may have extended the lease, so a silent worker's is left to end.
+    fn lease(&self) -> Option<u64> {
         let (millis, read) = self.clock.get()?;
-        if extend {
+        if self.extend.get() && !self.silent.get() {
+            self.tell(Event::Extended(self.authority.worker.clone()));
             let elapsed = clock::now().saturating_sub(read) + batch::LEASE;
             let until = millis + elapsed.as_millis() as u64;
             self.until.set(self.until.get().max(until));
@@ -152,7 +158,6 @@
     let mut link = Link::new(address);
     let mut pause = PAUSE.0;
     let mut seen = 0;
-    let mut silent = false;
     loop {
         if lane.stored.get() < seen {
             let listener = lane.changed.listen();
@@ -167,18 +172,12 @@
             false => WAIT,
         };
         let asked = clock::now();
-        // An unanswered look may have extended the lease, so a silent worker's is left to end.
-        let extend = lane.extend.get() && !silent;
-        let until = lane.lease(extend);
-        if until.is_some() && extend {
-            lane.tell(Event::Extended(lane.authority.worker.clone()));
-        }
+        let until = lane.lease();
         let stored = lane.stored.get();
         let look = worker::look(&mut link, &lane.authority, (stored, until), (wait, CALL));
         match look.await {
             Ok(mut look) => {
-                if silent {
-                    silent = false;
+                if lane.silent.replace(false) {
                     info!(lane.log, "worker: answers again"; "worker" => %lane.authority.worker);
                 }
                 pause = PAUSE.0;
@@ -192,8 +191,7 @@
             }
             Err(Refusal::Fenced) => return lane.fenced(),
             Err(refusal) => {
-                if !silent {
-                    silent = true;
+                if !lane.silent.replace(true) {
                     warn!(lane.log, "worker: does not answer";
                         "worker" => %lane.authority.worker, "reason" => ?refusal);
                 }
@@ -216,7 +214,7 @@
                     run,
                     spec,
                     checkpoint,
-                    until_ms: lane.until.get(),
+                    until_ms: lane.lease().unwrap_or(0),
                 };
                 let reply = worker::start(&mut link, &lane.authority, &start, CALL).await;
                 let reply = match reply {
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -95,6 +95,9 @@
 /// Time for which a predecessor without contact may still extend leases.
 pub const CONTACT: Duration = Duration::from_millis(1_500);
 
+/// Time within which a worker leaves the registry after an order to its machine.
+const RETURNED: Duration = Duration::from_secs(6);
+
 /// What happened.
 #[derive(Debug)]
 pub enum Event {
@@ -374,9 +377,16 @@
     /// Returns whether most of the workers answered lately.
     pub fn reaches_most(&self, now: Time) -> bool {
         let heard = |worker: &&Worker| now.saturating_sub(worker.heard) < CONTACT;
-        let listed = self.workers.values().filter(|worker| !worker.absent);
+        let leaving = |worker: &Worker| {
+            worker.ordered.is_some_and(|time| now.saturating_sub(time) < RETURNED)
+        };
+        let listed = self
+            .workers
+            .values()
+            .filter(|worker| !worker.absent && !leaving(worker));
         let count = listed.clone().filter(heard).count();
-        count * 2 > listed.count()
+        let all = listed.count();
+        all == 0 || count * 2 > all
     }
 
     /// Returns whether a worker is listed or may still run something.
@@ -440,8 +450,7 @@
 
     fn extended(&mut self, worker: &WorkerId, now: Time) {
         if let Some(worker) = self.workers.get_mut(worker) {
-            let lease = LEASE.mul_f64(1.0 + CLOCK_SLACK);
-            worker.lapse = worker.lapse.max(now + lease + worker::LAPSE_SLACK);
+            worker.lapse = worker.lapse.max(now + worker::longest_lease());
         }
     }
 
@@ -458,6 +467,9 @@
         self.demand_tick(now);
         self.maintain(now);
         self.balance(now);
+        // Pauses of workers and tasks end without an event.
+        let waiting = self.ready.iter().filter(|(_, ready)| !ready.is_empty());
+        self.stale.extend(waiting.map(|(pool, _)| pool.clone()));
     }
 
     fn note(&mut self, line: String) {
--- a/crates/wigeonhinge/src/batch/place.rs
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -135,8 +135,12 @@
             .first()
             .filter(|_| step.same_rack)
             .and_then(|(_, id)| self.workers.get(id));
+        let pool = self.workers.values().filter(|it| it.entry.pool == job.pool);
+        // A pool in which all workers are paused is better than none.
+        let all_paused = pool.filter(|it| it.usable(now)).all(|it| it.paused(now));
         self.workers
             .iter()
+            .filter(|(_, worker)| all_paused || !worker.paused(now))
             .filter(|(id, worker)| fits(id, worker))
             .min_by_key(|(id, worker)| {
                 let shunned = state.shun.as_ref() == Some(*id);
--- a/crates/wigeonhinge/src/batch/pools.rs
+++ b/crates/wigeonhinge/src/batch/pools.rs
@@ -176,6 +176,9 @@
             Order::Maintain(_) => self.bounds.maintenance,
         };
         held.back = now + time + RETURN_SLACK;
+        if let Some(worker) = self.workers.get_mut(&held.machine.worker) {
+            worker.ordered = Some(now);
+        }
         match order {
             Order::Move(pool) => held.machine.pool = pool,
             Order::Maintain(wave) => self.upkeep.done(wave, id),
--- a/crates/wigeonhinge/src/batch/report.rs
+++ b/crates/wigeonhinge/src/batch/report.rs
@@ -12,6 +12,7 @@
 use crate::batch::TaskId;
 use crate::batch::WorkerId;
 use crate::batch::task::Status;
+use crate::batch::worker;
 use crate::batch::worker::Stage;
 use crate::id::Time;
 
@@ -96,6 +97,8 @@
         worker.heard = now;
         if !worker.listed {
             worker.listed = true;
+            // Its fence keeps a predecessor from extending the lease any more.
+            worker.lapse = now + worker::longest_lease();
             self.stale.insert(worker.entry.pool.clone());
         }
         let seen = worker.seen;
@@ -136,20 +139,24 @@
             number, task, run, ..
         } = &ended;
         let mut elapsed = None;
+        let mut lasting = false;
         if let Some(worker) = self.workers.get_mut(id) {
             worker.seen = worker.seen.max(*number);
             self.stale.insert(worker.entry.pool.clone());
             if worker.runs.get(task).is_some_and(|it| it.run == *run)
                 && let Some(state) = worker.remove(task)
-                && let Stage::Confirmed(since) = state.stage
             {
-                elapsed = Some(now.saturating_sub(since));
+                lasting = state.lasting;
+                if let Stage::Confirmed(since) = state.stage {
+                    elapsed = Some(now.saturating_sub(since));
+                }
             }
         }
+        // Lasting tasks may fail at any time, on any worker.
         match ended.end {
             End::Done => self.judge(id, false, now),
-            End::Failed => self.judge(id, true, now),
-            End::Interrupted => {}
+            End::Failed if !lasting => self.judge(id, true, now),
+            End::Failed | End::Interrupted => {}
         }
         let version = self.settle(id, &ended, elapsed, now);
         if let (Some(version), Some(worker)) = (version, self.workers.get_mut(id)) {
--- a/crates/wigeonhinge/src/batch/worker.rs
+++ b/crates/wigeonhinge/src/batch/worker.rs
@@ -39,6 +39,11 @@
 /// Failed ends in a row after which a worker is quarantined.
 const FAIL_STREAK: u32 = 2;
 
+/// Returns the time after which a lease that begins now has ended for certain.
+pub(super) fn longest_lease() -> Duration {
+    super::LEASE.mul_f64(1.0 + super::CLOCK_SLACK) + LAPSE_SLACK
+}
+
 /// State of a run on a worker.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Stage {
@@ -93,6 +98,10 @@
     /// When the order last asked for it.
     pub(super) held_at: Time,
     pub(super) streak: u32,
+    /// When the pace of a filling task last changed.
+    pub(super) paced: Time,
+    /// When an order to its machine was last accepted.
+    pub(super) ordered: Option<Time>,
     /// Highest end seen.
     pub(super) seen: u64,
     /// Ends whose result is not stored yet.
@@ -116,6 +125,8 @@
             held: false,
             held_at: Time::ZERO,
             streak: 0,
+            paced: Time::ZERO,
+            ordered: None,
             seen: 0,
             ends: BTreeMap::new(),
             acknowledged: 0,
@@ -160,10 +171,14 @@
             && !self.missing(now)
             && !self.entry.draining
             && !self.held
-            && now >= self.pause
             && now.saturating_sub(self.heard) < SILENCE
     }
 
+    /// Returns whether it refused or failed work lately.
+    pub(super) fn paused(&self, now: Time) -> bool {
+        now < self.pause
+    }
+
     /// Returns whether the registry has not had it for longer than an outage explains.
     pub(super) fn missing(&self, now: Time) -> bool {
         self.absent && now.saturating_sub(self.absent_since) > RETURN
--- /dev/null
+++ b/crates/wigeonhinge/tests/batch.rs
@@ -0,0 +1,273 @@
+//! Jobs of steps and tasks: durable order, takeover, lost workers, cancellations.
+
+#[path = "support/cluster.rs"]
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::Cluster;
+use cluster::job;
+use cluster::step;
+use cluster::task;
+use rstest::rstest;
+use wigeonhinge::batch::Action;
+use wigeonhinge::batch::End;
+use wigeonhinge::batch::Event;
+use wigeonhinge::batch::Phase;
+use wigeonhinge::batch::Reply;
+use wigeonhinge::batch::Step;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn acknowledged(cluster: &Cluster) -> bool {
+    let is = |action: &Action| matches!(action, Action::Acknowledge { .. });
+    cluster.actions.iter().any(is)
+}
+
+/// A start before its record would be unknown to a successor.
+#[test]
+fn start_after_record() {
+    let mut cluster = Cluster::open(&["w1"]);
+    cluster.submit(job("j", vec![step(1)]));
+    assert!(cluster.starts().is_empty());
+    cluster.store();
+    assert_eq!(cluster.starts(), [("j.0.0.0".to_owned(), 1)]);
+}
+
+/// An end that is acknowledged before it is stored would be lost with the holder.
+#[test]
+fn acknowledge_after_store() {
+    let mut cluster = Cluster::open(&["w1"]);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    cluster.end("j.0.0.0", End::Done);
+    cluster.look();
+    assert!(!acknowledged(&cluster));
+    cluster.store();
+    assert!(acknowledged(&cluster));
+    assert_eq!(cluster.rows["j"].phase, Phase::Completed);
+}
+
+/// A step begins only after all tasks of the steps before it are done.
+#[test]
+fn step_after_all_tasks() {
+    let second = Step {
+        after: vec![0],
+        ..step(1)
+    };
+    let mut cluster = Cluster::open(&["w1"]);
+    cluster.submit(job("j", vec![step(2), second]));
+    cluster.store();
+    cluster.end("j.0.0.0", End::Done);
+    cluster.pass(SECOND);
+    assert_eq!(cluster.copies("j.0.1.0"), 0);
+    cluster.end("j.0.0.1", End::Done);
+    cluster.pass(Duration::from_millis(100));
+    assert_eq!(cluster.copies("j.0.1.0"), 1);
+}
+
+/// A start without an answer may still happen; the task starts elsewhere only after a stop.
+#[test]
+fn unknown_start_is_stopped() {
+    let mut cluster = Cluster::open(&["w1", "w2"]);
+    cluster.prompt = false;
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    let (worker, run) = cluster
+        .actions
+        .iter()
+        .find_map(|action| match action {
+            Action::Start { worker, run, .. } => Some((worker.clone(), *run)),
+            _ => None,
+        })
+        .expect("a start");
+    let id = task("j.0.0.0");
+    cluster.event(Event::Started(worker.clone(), id.clone(), run, Reply::Unknown));
+    cluster.now += SECOND;
+    cluster.look();
+    cluster.store();
+    assert_eq!(cluster.starts().len(), 1, "the stop has no answer yet");
+    cluster.event(Event::Stopped(worker, id, run, true));
+    cluster.now += Duration::from_millis(100);
+    cluster.look();
+    cluster.store();
+    assert_eq!(cluster.starts().last(), Some(&("j.0.0.0".to_owned(), 2)));
+}
+
+/// A successor goes on with the runs that workers list, and starts none of them again.
+#[test]
+fn takeover_keeps_runs() {
+    let mut cluster = Cluster::open(&["w1", "w2"]);
+    cluster.submit(job("j", vec![step(4)]));
+    cluster.store();
+    cluster.succeed();
+    cluster.pass(3 * SECOND);
+    assert_eq!(cluster.starts().len(), 4);
+    for index in 0..4 {
+        assert_eq!(cluster.copies(&format!("j.0.0.{index}")), 1);
+    }
+}
+
+/// A recorded start that no worker lists gets a higher run.
+#[test]
+fn takeover_restarts_lost_start() {
+    let mut cluster = Cluster::open(&["w1"]);
+    cluster.prompt = false;
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    cluster.prompt = true;
+    cluster.succeed();
+    cluster.pass(SECOND);
+    assert_eq!(cluster.starts().last(), Some(&("j.0.0.0".to_owned(), 2)));
+}
+
+/// A successor that cannot reach a worker waits until the predecessor's lease has ended.
+#[test]
+fn takeover_waits_for_lease() {
+    let mut cluster = Cluster::open(&["w1", "w2"]);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    let holder = cluster.holder("j.0.0.0").expect("a run");
+    cluster.nodes.get_mut(&holder).expect("a worker").silent = true;
+    cluster.succeed();
+    cluster.pass(Duration::from_millis(4_900));
+    assert_eq!(cluster.starts().len(), 1);
+    cluster.pass(2 * SECOND);
+    assert_eq!(cluster.starts().len(), 2);
+}
+
+/// A silent worker's runs are given up once its lease has ended, not before and not never.
+#[test]
+fn silence_ends_with_lease() {
+    let mut cluster = Cluster::open(&["w1", "w2"]);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    cluster.pass(Duration::from_millis(100));
+    let holder = cluster.holder("j.0.0.0").expect("a run");
+    cluster.nodes.get_mut(&holder).expect("a worker").silent = true;
+    cluster.pass(Duration::from_millis(3_400));
+    assert_eq!(cluster.starts().len(), 1);
+    cluster.pass(SECOND);
+    assert_eq!(cluster.starts().len(), 2);
+}
+
+/// A new incarnation runs nothing, and its ends are numbered anew.
+#[test]
+fn incarnation_loses_runs() {
+    let mut cluster = Cluster::open(&["w1"]);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    cluster.pass(Duration::from_millis(100));
+    let node = cluster.nodes.get_mut("w1").expect("a worker");
+    *node = cluster::Node {
+        born: 2,
+        ..cluster::Node::default()
+    };
+    cluster.pass(Duration::from_millis(200));
+    assert_eq!(cluster.starts().last(), Some(&("j.0.0.0".to_owned(), 2)));
+    cluster.end("j.0.0.0", End::Done);
+    cluster.pass(Duration::from_millis(200));
+    assert_eq!(cluster.rows["j"].phase, Phase::Completed);
+}
+
+/// A cancelled job's runs are stopped, and none starts again.
+#[test]
+fn cancel_stops_runs() {
+    let mut cluster = Cluster::open(&["w1"]);
+    cluster.submit(job("j", vec![step(3)]));
+    cluster.store();
+    cluster.event(Event::Cancel("j".into()));
+    cluster.pass(SECOND);
+    assert_eq!(cluster.rows["j"].phase, Phase::Canceled);
+    assert!(cluster.nodes["w1"].runs.is_empty());
+    assert_eq!(cluster.starts().len(), 3);
+}
+
+/// A run of a job that ended before a takeover is stopped by the successor.
+#[test]
+fn takeover_stops_runs_of_ended_job() {
+    let mut cluster = Cluster::open(&["w1"]);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    cluster.prompt = false;
+    cluster.event(Event::Cancel("j".into()));
+    cluster.store();
+    cluster.prompt = true;
+    cluster.jobs.clear();
+    cluster.succeed();
+    cluster.pass(SECOND);
+    assert!(cluster.nodes["w1"].runs.is_empty());
+}
+
+/// A whole read of the inputs may bring a job again whose last row was just written.
+#[test]
+fn accept_again_after_end() {
+    let mut cluster = Cluster::open(&["w1"]);
+    let row = job("j", vec![step(1)]);
+    cluster.submit(row.clone());
+    cluster.store();
+    cluster.end("j.0.0.0", End::Done);
+    cluster.pass(SECOND);
+    cluster.submit(row);
+    cluster.pass(SECOND);
+    assert_eq!(cluster.starts().len(), 1);
+}
+
+#[rstest]
+#[case::below(2, Phase::Active, 3)]
+#[case::at(3, Phase::Failed, 3)]
+fn failures_attempts(#[case] failures: usize, #[case] phase: Phase, #[case] starts: usize) {
+    let mut cluster = Cluster::open(&["w1", "w2", "w3"]);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    for _ in 0..failures {
+        cluster.pass(Duration::from_millis(300));
+        cluster.end("j.0.0.0", End::Failed);
+    }
+    cluster.pass(SECOND);
+    assert_eq!(cluster.rows["j"].phase, phase);
+    assert_eq!(cluster.starts().len(), starts);
+}
+
+/// A lasting task starts again however it ended, and as often as that happens.
+#[rstest]
+#[case::done(End::Done)]
+#[case::failed(End::Failed)]
+#[case::interrupted(End::Interrupted)]
+fn lasting_restarts(#[case] end: End) {
+    let lasting = Step {
+        lasting: true,
+        ..step(1)
+    };
+    let mut cluster = Cluster::open(&["w1", "w2"]);
+    cluster.submit(job("j", vec![lasting]));
+    cluster.store();
+    for _ in 0..5 {
+        cluster.end("j.0.0.0", end);
+        cluster.pass(Duration::from_millis(300));
+        assert_eq!(cluster.copies("j.0.0.0"), 1);
+    }
+}
+
+/// A run without progress starts elsewhere.
+#[test]
+fn stalled_moves() {
+    let mut cluster = Cluster::open(&["w1", "w2"]);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    let first = cluster.holder("j.0.0.0").expect("a run");
+    for _ in 0..30 {
+        for node in cluster.nodes.values_mut() {
+            node.runs.values_mut().for_each(|work| work.percent = 0);
+        }
+        cluster.pass(Duration::from_millis(100));
+        for node in cluster.nodes.values_mut() {
+            node.runs.values_mut().for_each(|work| work.percent = 0);
+        }
+        if cluster.holder("j.0.0.0").is_some_and(|it| it != first) {
+            return;
+        }
+        cluster.event(Event::Tick);
+    }
+    panic!("the run stayed on {first}");
+}
--- /dev/null
+++ b/crates/wigeonhinge/tests/support/cluster.rs
@@ -0,0 +1,365 @@
+//! A store and workers in memory around a `Batch`, for its tests.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use wigeonhinge::Time;
+use wigeonhinge::batch::Action;
+use wigeonhinge::batch::Batch;
+use wigeonhinge::batch::Bounds;
+use wigeonhinge::batch::Catalog;
+use wigeonhinge::batch::End;
+use wigeonhinge::batch::Ended;
+use wigeonhinge::batch::Event;
+use wigeonhinge::batch::JobRow;
+use wigeonhinge::batch::JobSpec;
+use wigeonhinge::batch::Machine;
+use wigeonhinge::batch::MachineState;
+use wigeonhinge::batch::PoolRule;
+use wigeonhinge::batch::ProgressRow;
+use wigeonhinge::batch::Queue;
+use wigeonhinge::batch::Reply;
+use wigeonhinge::batch::Report;
+use wigeonhinge::batch::Running;
+use wigeonhinge::batch::Size;
+use wigeonhinge::batch::Step;
+use wigeonhinge::batch::TaskId;
+use wigeonhinge::batch::WorkerEntry;
+
+/// Run that a worker carries out.
+#[derive(Clone, Debug)]
+pub struct Work {
+    pub run: u32,
+    pub percent: u32,
+    pub figure: f64,
+}
+
+/// Worker that does what it is told.
+#[derive(Clone, Debug, Default)]
+pub struct Node {
+    pub born: u64,
+    pub runs: BTreeMap<TaskId, Work>,
+    pub ends: Vec<Ended>,
+    pub next_end: u64,
+    /// Whether it answers.
+    pub silent: bool,
+}
+
+/// Store, workers and the holder of the role.
+pub struct Cluster {
+    pub batch: Batch,
+    pub now: Time,
+    pub nodes: BTreeMap<String, Node>,
+    pub entries: Vec<WorkerEntry>,
+    pub jobs: BTreeMap<String, JobRow>,
+    pub rows: BTreeMap<String, ProgressRow>,
+    pub actions: Vec<Action>,
+    /// Whether starts are carried out at once.
+    pub prompt: bool,
+}
+
+pub const POOL: &str = "crews";
+pub const SPARE: &str = "spare";
+
+pub fn bounds() -> Bounds {
+    Bounds {
+        lease: Duration::from_secs(10),
+        retention: Duration::from_secs(120),
+        migrate: Duration::from_millis(1_500),
+        maintenance: Duration::from_secs(2),
+        order_lease: Duration::from_secs(3),
+        notice: Duration::from_millis(4_500),
+    }
+}
+
+pub fn catalog() -> Catalog {
+    let queue = |name: &str| Queue {
+        name: name.into(),
+        host: "host".into(),
+        prefix: format!("/{name}/").into(),
+        pool: POOL.into(),
+        priority: 0,
+        attempts: 3,
+        stretch: 1.6,
+        objective: Duration::from_millis(600),
+    };
+    let pool = |name: &str, parked| PoolRule {
+        name: name.into(),
+        guarded: true,
+        parked,
+    };
+    Catalog {
+        version: 1,
+        queues: vec![queue("booking")],
+        pools: vec![pool(POOL, false), pool(SPARE, true)],
+        body_bytes: 1 << 18,
+    }
+}
+
+pub fn entry(id: &str) -> WorkerEntry {
+    WorkerEntry {
+        id: id.into(),
+        address: "127.0.0.1:1".into(),
+        pool: POOL.into(),
+        zone: "a".into(),
+        capacity: Size {
+            millicores: 16_000,
+            memory_mb: 64_000,
+            accelerators: 0,
+        },
+        labels: vec!["kind".into(), "r1-1".into()],
+        draining: false,
+        born: 1,
+        machine: format!("m-{id}").into(),
+    }
+}
+
+pub fn step(count: u32) -> Step {
+    Step {
+        count,
+        millicores: 1_000,
+        memory_mb: 1_000,
+        estimate_ms: 800,
+        ..Step::default()
+    }
+}
+
+pub fn job(id: &str, steps: Vec<Step>) -> JobRow {
+    JobRow {
+        id: id.into(),
+        queue: "booking".into(),
+        pool: POOL.into(),
+        accepted_ms: 0,
+        job: JobSpec {
+            spec: "text".into(),
+            steps,
+            ..JobSpec::default()
+        },
+    }
+}
+
+pub fn task(name: &str) -> TaskId {
+    name.parse().expect("a task's name")
+}
+
+pub fn machine(id: &str, pool: &str, worker: &str) -> Machine {
+    Machine {
+        id: id.into(),
+        pool: pool.into(),
+        state: MachineState::Up,
+        zone: "a".into(),
+        worker: worker.into(),
+    }
+}
+
+impl Cluster {
+    /// A holder whose workers have listed nothing.
+    pub fn open(workers: &[&str]) -> Self {
+        let now = Duration::from_secs(100);
+        let entries: Vec<WorkerEntry> = workers.iter().map(|id| entry(id)).collect();
+        let node = || Node {
+            born: 1,
+            ..Node::default()
+        };
+        let nodes = workers.iter().map(|id| ((*id).to_owned(), node()));
+        let mut cluster = Self {
+            batch: Batch::open(bounds(), catalog(), -100_000, now),
+            now,
+            nodes: nodes.collect(),
+            entries: entries.clone(),
+            jobs: BTreeMap::new(),
+            rows: BTreeMap::new(),
+            actions: Vec::new(),
+            prompt: true,
+        };
+        cluster.event(Event::Workers(entries));
+        cluster.look();
+        cluster
+    }
+
+    /// A successor that knows only what the store holds.
+    pub fn succeed(&mut self) {
+        self.batch = Batch::open(bounds(), catalog(), -100_000, self.now);
+        self.event(Event::Workers(self.entries.clone()));
+        for (id, row) in &self.jobs {
+            let progress = self.rows.get(id).cloned();
+            self.batch.restore(row.clone(), progress, self.now);
+        }
+        self.pass(Duration::from_millis(1));
+    }
+
+    pub fn submit(&mut self, row: JobRow) {
+        self.jobs.insert(row.id.to_string(), row.clone());
+        self.event(Event::Accept(row));
+    }
+
+    pub fn event(&mut self, event: Event) {
+        let actions = self.batch.handle(event, self.now);
+        self.carry_out(actions);
+    }
+
+    /// Stores every row that waits.
+    pub fn store(&mut self) {
+        loop {
+            let writes = self.batch.take_writes(16);
+            if writes.is_empty() {
+                return;
+            }
+            for write in &writes {
+                self.rows.insert(write.job.to_string(), write.row.clone());
+            }
+            let actions = self.batch.written(&writes, self.now);
+            self.carry_out(actions);
+        }
+    }
+
+    /// Lets every worker that answers list its runs.
+    pub fn look(&mut self) {
+        let ids: Vec<String> = self.nodes.keys().cloned().collect();
+        for id in ids {
+            self.event(Event::Extended(id.as_str().into()));
+            if !self.nodes[&id].silent {
+                self.look_at(&id);
+            }
+        }
+    }
+
+    pub fn look_at(&mut self, id: &str) {
+        let node = &self.nodes[id];
+        let running = node.runs.iter().map(|(task, work)| Running {
+            task: task.clone(),
+            run: work.run,
+            checkpoint: "".into(),
+            percent: work.percent,
+            figure: work.figure,
+        });
+        let report = Report {
+            born: node.born,
+            asked: self.now,
+            running: running.collect(),
+            finished: node.ends.clone(),
+        };
+        self.event(Event::Report(id.into(), report));
+    }
+
+    /// Ends a run on the worker that has it.
+    pub fn end(&mut self, name: &str, end: End) {
+        let task = task(name);
+        let holder = self.holder(name).expect("a worker has the run");
+        let node = self.nodes.get_mut(&holder).expect("a known worker");
+        let work = node.runs.remove(&task).expect("a run");
+        node.next_end += 1;
+        node.ends.push(Ended {
+            number: node.next_end,
+            task,
+            run: work.run,
+            end,
+            checkpoint: "".into(),
+        });
+    }
+
+    pub fn holder(&self, name: &str) -> Option<String> {
+        let task = task(name);
+        let mut holders = self.nodes.iter();
+        let holder = holders.find(|(_, node)| node.runs.contains_key(&task));
+        holder.map(|(id, _)| id.clone())
+    }
+
+    /// Counts the workers that carry out a task.
+    pub fn copies(&self, name: &str) -> usize {
+        let task = task(name);
+        let nodes = self.nodes.values();
+        nodes.filter(|node| node.runs.contains_key(&task)).count()
+    }
+
+    /// Lets time go by, with looks, ticks and writes.
+    pub fn pass(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            let left = until - self.now;
+            self.now += left.min(Duration::from_millis(100));
+            for node in self.nodes.values_mut() {
+                for work in node.runs.values_mut() {
+                    work.percent = (work.percent + 1).min(100);
+                }
+            }
+            let ids: Vec<String> = self.nodes.keys().cloned().collect();
+            for id in ids {
+                // A silent worker's lease is not extended any more.
+                if !self.nodes[&id].silent {
+                    self.event(Event::Extended(id.as_str().into()));
+                    self.look_at(&id);
+                }
+            }
+            self.event(Event::Tick);
+            self.store();
+        }
+    }
+
+    /// Returns the starts that were ordered so far.
+    pub fn starts(&self) -> Vec<(String, u32)> {
+        let starts = self.actions.iter().filter_map(|action| match action {
+            Action::Start { task, run, .. } => Some((task.to_string(), *run)),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        self.actions.extend(actions.iter().cloned());
+        if !self.prompt {
+            return;
+        }
+        for action in actions {
+            match action {
+                Action::Start {
+                    worker, task, run, ..
+                } => self.start(&worker, task, run),
+                Action::Stop { worker, task, run } => self.stop(&worker, &task, run),
+                Action::Acknowledge { worker, end } => {
+                    if let Some(node) = self.nodes.get_mut(worker.as_str()) {
+                        node.ends.retain(|it| it.number > end);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn start(&mut self, worker: &str, task: TaskId, run: u32) {
+        let node = self.nodes.get_mut(worker).expect("a known worker");
+        let reply = match node.silent {
+            true => Reply::Unknown,
+            false => {
+                let work = Work {
+                    run,
+                    percent: 0,
+                    figure: 0.0,
+                };
+                node.runs.insert(task.clone(), work);
+                Reply::Started
+            }
+        };
+        self.event(Event::Started(worker.into(), task, run, reply));
+    }
+
+    fn stop(&mut self, worker: &str, task: &TaskId, run: u32) {
+        let Some(node) = self.nodes.get_mut(worker) else {
+            return;
+        };
+        let answered = !node.silent;
+        if answered && node.runs.get(task).is_some_and(|it| it.run == run) {
+            node.runs.remove(task);
+            node.next_end += 1;
+            node.ends.push(Ended {
+                number: node.next_end,
+                task: task.clone(),
+                run,
+                end: End::Interrupted,
+                checkpoint: "".into(),
+            });
+        }
+        self.event(Event::Stopped(worker.into(), task.clone(), run, answered));
+    }
+}
