Record machine orders before they are given, so that a successor orders at once

On a silent store, callers got 504 for jobs that could have been refused unsent.

Ruled out: a shorter wait, which two holders in touch could break.

Change: the order's record is part of the holder's chain of writes; a successor keeps away from machines that were ordered in the last 12 s only. Waves leave working machines alone while tasks wait, unless time presses.

--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -67,6 +67,8 @@
     answered: Cell<Time>,
     /// First call since then that got none in time, or was refused.
     failed: Cell<Option<Time>>,
+    /// Oldest write that a caller waits for, sent after the last answer.
+    asked: Cell<Option<Time>>,
 }
 
 impl Health {
@@ -74,6 +76,20 @@
     pub(crate) fn good(&self) {
         self.answered.set(clock::now());
         self.failed.set(None);
+        self.asked.set(None);
+    }
+
+    /// Notes a write that is sent.
+    pub(crate) fn ask(&self) {
+        if self.asked.get().is_none() {
+            self.asked.set(Some(clock::now()));
+        }
+    }
+
+    /// Returns for how long a write has waited without any answer of the store.
+    pub(crate) fn waiting(&self) -> Duration {
+        let asked = self.asked.get();
+        asked.map_or(Duration::ZERO, |time| clock::now().saturating_sub(time))
     }
 
     /// Notes a call without an answer.
--- a/crates/daemon/src/site/election.rs
+++ b/crates/daemon/src/site/election.rs
@@ -130,6 +130,7 @@
 
 /// Renews the lease of a role until it has ended.
 pub(super) async fn renew(shared: Rc<Shared>, term: Term, inbox: Sender<Message>) {
+    let mut failing = false;
     loop {
         compio::time::sleep(RENEW).await;
         let sent = clock::now();
@@ -137,6 +138,7 @@
             Ok(true) => {
                 shared.health.good();
                 term.renewed.set(sent);
+                failing = false;
             }
             Ok(false) => {
                 // The receiver is gone only if the role was given up already.
@@ -145,7 +147,9 @@
             }
             Err(error) => {
                 shared.health.bad();
-                warn!(shared.log, "role: cannot be renewed"; "error" => %error);
+                if !std::mem::replace(&mut failing, true) {
+                    warn!(shared.log, "role: cannot be renewed"; "error" => %error);
+                }
             }
         }
     }
--- a/crates/daemon/src/site/front.rs
+++ b/crates/daemon/src/site/front.rs
@@ -51,7 +51,11 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Time for a write of a job; a silent store is given up after it and asked again.
-const WRITE: Duration = Duration::from_millis(700);
+const WRITE: Duration = Duration::from_millis(500);
+
+/// Time without any answer of the store after which further jobs are refused unsent;
+/// a slow store answers within 240 ms.
+const SILENT: Duration = Duration::from_millis(350);
 
 /// Time for a read of a job.
 const READ: Duration = Duration::from_millis(400);
@@ -328,7 +332,8 @@
 /// Writes under a condition that makes a repetition harmless; repeats it while the outcome is
 /// unknown.
 async fn store(shared: &Shared, commit: &Commit, deadline: Time) -> Stored {
-    if shared.health.failing() && shared.health.silence() > WRITE {
+    let failing = shared.health.failing() && shared.health.silence() > SILENT;
+    if failing || shared.health.waiting() > SILENT {
         return Stored::Refused("the store does not answer".into());
     }
     let mut unknown = false;
@@ -340,6 +345,7 @@
                 false => Stored::Refused("no time left".into()),
             };
         }
+        shared.health.ask();
         match shared.store.commit(commit, WRITE.min(left)).await {
             Ok(outcome) => {
                 shared.health.good();
--- a/crates/daemon/src/site/keys.rs
+++ b/crates/daemon/src/site/keys.rs
@@ -20,6 +20,9 @@
 /// Prefix of what was done for waves.
 pub(super) const WAVES: &str = "wigeonhinge/wave/";
 
+/// Key of the machine orders that were given lately.
+pub(super) const ORDERS: &str = "wigeonhinge/orders";
+
 /// Key of the scheduler role; its creation is the role's fence.
 pub(super) const ROLE: &str = "wigeonhinge/role";
 
--- a/crates/daemon/src/site/orders.rs
+++ b/crates/daemon/src/site/orders.rs
@@ -28,7 +28,7 @@
 
 /// Age of the role's last renewal up to which orders are given.
 ///
-/// A successor waits longer than this before its first order.
+/// A successor waits longer than this with the machines that were ordered lately.
 const FRESH: Duration = Duration::from_millis(1_000);
 
 /// Reads the list of machines again and again.
--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -25,7 +25,6 @@
 use wigeonhinge::batch::Wave;
 use wigeonhinge::batch::WorkerEntry;
 use wigeonhinge::batch::WorkerId;
-use wigeonhinge::batch::Write;
 use wigeonhinge::id::VmId;
 use wigeonhinge_platform::machines;
 use wigeonhinge_platform::records;
@@ -61,6 +60,10 @@
 /// Time for which a holder may reach too few workers before it gives up the role.
 const ISOLATED: Duration = Duration::from_millis(1_500);
 
+/// Age in milliseconds up to which a recorded machine order counts; covers the
+/// platform's bound between two holders and clocks that differ by seconds.
+const RECENT_MS: i64 = 12_000;
+
 /// What the tasks of the role report.
 #[derive(Debug)]
 pub(super) enum Message {
@@ -76,8 +79,8 @@
     Waves(Vec<Item>),
     /// Something happened that the library decides on.
     Event(Event),
-    /// The store holds rows; the role's key has this revision.
-    Written(Vec<Write>, Revision),
+    /// The store holds a write; the role's key has this revision.
+    Written(Brought, Revision),
     /// The role is lost.
     Lost(String),
 }
@@ -100,6 +103,10 @@
     waves: BTreeMap<u64, WaveRow>,
     extras: Vec<Extra>,
     machine_orders: Sender<(VmId, machines::Order)>,
+    /// Machines that were ordered lately, by the time of day in milliseconds.
+    ordered: BTreeMap<VmId, i64>,
+    /// Orders whose record is not stored yet.
+    unrecorded: Vec<(VmId, machines::Order)>,
     writing: bool,
     written: u64,
     extend: Rc<Cell<bool>>,
@@ -117,6 +124,7 @@
     workers: (Vec<Item>, Revision),
     waves: Vec<Item>,
     done: Vec<Item>,
+    orders: Option<Item>,
 }
 
 /// Fills the role until it is lost or given up; returns the reason.
@@ -169,6 +177,7 @@
         workers: workers?,
         waves: waves?.0,
         done: done?.0,
+        orders: store.get(keys::ORDERS, CALL).await?,
     })
 }
 
@@ -208,6 +217,8 @@
             waves: BTreeMap::new(),
             extras: Vec::new(),
             machine_orders,
+            ordered: BTreeMap::new(),
+            unrecorded: Vec::new(),
             writing: false,
             written: 0,
             extend: Rc::new(Cell::new(true)),
@@ -266,6 +277,23 @@
             }
         }
         self.all_waves(stored.waves);
+        self.bar_machines(stored.orders, now);
+    }
+
+    /// Keeps away from the machines that a predecessor may still order.
+    fn bar_machines(&mut self, row: Option<Item>, now: Time) {
+        let Some(row) = row else {
+            return;
+        };
+        match serde_json::from_slice::<BTreeMap<VmId, i64>>(&row.value) {
+            Ok(ordered) => {
+                let wall = clock::wall_ms();
+                for (machine, _) in ordered.into_iter().filter(|it| wall - it.1 < RECENT_MS) {
+                    self.batch.bar_machine(machine, now);
+                }
+            }
+            Err(error) => self.unreadable(keys::ORDERS, &error.to_string()),
+        }
     }
 
     async fn work(&mut self, messages: &Receiver<Message>, resigned: &Receiver<()>) -> String {
@@ -318,9 +346,14 @@
             Message::Workers(items) => self.all_workers(items),
             Message::Waves(items) => self.all_waves(items),
             Message::Event(event) => self.event(event),
-            Message::Written(writes, revision) => {
+            Message::Written(brought, revision) => {
                 self.writing = false;
                 self.term.revision = revision;
+                let writes = brought.writes;
+                for order in brought.orders {
+                    // The receiver lives as long as this role.
+                    let _ = self.machine_orders.send(order);
+                }
                 let mut replica = self.shared.replica.borrow_mut();
                 for write in &writes {
                     replica.written(&write.job, &write.row);
@@ -414,13 +447,10 @@
                     }
                 }
                 Action::Move { machine, pool } => {
-                    let order = (machine, machines::Order::Move(pool));
-                    // The receiver lives as long as this role.
-                    let _ = self.machine_orders.send(order);
+                    self.record_order(machine, machines::Order::Move(pool));
                 }
                 Action::Maintain { machine, wave } => {
-                    let order = (machine, machines::Order::Maintain(wave));
-                    let _ = self.machine_orders.send(order);
+                    self.record_order(machine, machines::Order::Maintain(wave));
                 }
                 Action::Publish { wave, completed } => self.store_wave(wave, completed),
                 Action::Note(line) => info!(self.shared.log, "{}", line),
@@ -428,6 +458,19 @@
         }
     }
 
+    /// Gives an order to a machine once the store holds that it is given.
+    fn record_order(&mut self, machine: VmId, order: machines::Order) {
+        let wall = clock::wall_ms();
+        let recent = |time: &i64| wall - *time < RECENT_MS;
+        self.ordered.retain(|_, time| recent(time));
+        self.ordered.insert(machine.clone(), wall);
+        self.unrecorded.push((machine, order));
+        match serde_json::to_vec(&self.ordered) {
+            Ok(value) => self.extra(keys::ORDERS.to_owned(), value),
+            Err(error) => warn!(self.shared.log, "machines: row"; "error" => %error),
+        }
+    }
+
     fn order(&self, worker: &WorkerId, order: lookout::Order) {
         match self.workers.get(worker) {
             Some(handle) => handle.order(order),
@@ -454,6 +497,7 @@
             writes,
             extras: std::mem::take(&mut self.extras),
             expired,
+            orders: std::mem::take(&mut self.unrecorded),
         };
         let term = (self.term.clone(), self.written);
         let shared = Rc::clone(&self.shared);
--- a/crates/daemon/src/site/writer.rs
+++ b/crates/daemon/src/site/writer.rs
@@ -12,6 +12,8 @@
 use wigeonhinge::batch::Phase;
 use wigeonhinge::batch::Write;
 use wigeonhinge::id::JobId;
+use wigeonhinge::id::VmId;
+use wigeonhinge_platform::machines::Order;
 use wigeonhinge_platform::store::Commit;
 use wigeonhinge_platform::store::Outcome;
 use wigeonhinge_platform::store::Revision;
@@ -41,6 +43,8 @@
     pub(super) extras: Vec<Extra>,
     /// Jobs whose state is no longer kept.
     pub(super) expired: Vec<JobId>,
+    /// Machine orders that are given once the write is done.
+    pub(super) orders: Vec<(VmId, Order)>,
 }
 
 /// Writes rows and reports the role's new revision.
@@ -51,23 +55,25 @@
     inbox: Sender<Message>,
 ) {
     let commit = commit(&term, number, &brought);
-    let writes = brought.writes;
+    let mut silent = false;
     let message = loop {
         match shared.store.commit(&commit, CALL).await {
-            Ok(Outcome::Done(revision)) => break Message::Written(writes, revision),
+            Ok(Outcome::Done(revision)) => break Message::Written(brought, revision),
             Ok(Outcome::NoLease) => break Message::Lost("the lease has ended".into()),
             Ok(Outcome::Conflict(items)) => {
                 let own = term.value(number);
                 let role = items.into_iter().find(|item| item.key == keys::ROLE);
                 break match role.filter(|item| item.value == own) {
                     // An earlier attempt was executed and its answer was lost.
-                    Some(item) => Message::Written(writes, item.revision),
+                    Some(item) => Message::Written(brought, item.revision),
                     None => Message::Lost("another entry holds the role".into()),
                 };
             }
             Err(error) => {
                 shared.health.bad();
-                warn!(shared.log, "role: a write has no outcome yet"; "error" => %error);
+                if !std::mem::replace(&mut silent, true) {
+                    warn!(shared.log, "role: a write has no outcome yet"; "error" => %error);
+                }
                 compio::time::sleep(RETRY).await;
             }
         }
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -238,6 +238,8 @@
     needs: Needs,
     upkeep: Upkeep,
     machines: BTreeMap<VmId, pools::Held>,
+    /// Machines that a predecessor may still order, and until when.
+    barred: BTreeMap<VmId, Time>,
     /// Terminal rows that wait to be written.
     finals: BTreeMap<JobId, (u64, ProgressRow)>,
     /// Jobs that ended, by the time at which their state is no longer kept.
@@ -267,6 +269,7 @@
             needs: Needs::default(),
             upkeep: Upkeep::default(),
             machines: BTreeMap::new(),
+            barred: BTreeMap::new(),
             finals: BTreeMap::new(),
             ended: BTreeMap::new(),
             started: now,
--- a/crates/wigeonhinge/src/batch/balance.rs
+++ b/crates/wigeonhinge/src/batch/balance.rs
@@ -68,7 +68,7 @@
 impl Batch {
     /// Moves machines to the pools whose work waits, and parks idle ones.
     pub(super) fn balance(&mut self, now: Time) {
-        if self.machines.is_empty() || !self.may_order(now) {
+        if self.machines.is_empty() {
             return;
         }
         let mut standings = self.standings(now);
@@ -198,7 +198,7 @@
     fn donor(&self, standings: &[Standing], now: Time) -> Option<(VmId, Option<usize>)> {
         let mut best: Option<(u64, VmId, Option<usize>)> = None;
         for (id, held) in &self.machines {
-            if !held.free(now) {
+            if !held.free(now) || !self.may_order(id, now) {
                 continue;
             }
             let parked = self.catalog.parked(&held.machine.pool);
@@ -299,6 +299,7 @@
                 .machines
                 .iter()
                 .filter(|(_, held)| held.machine.pool == standing.pool && held.free(now))
+                .filter(|(id, _)| self.may_order(id, now))
                 .filter(|(_, held)| {
                     let worker = self.workers.get(&held.machine.worker);
                     worker.is_some_and(|it| it.runs.is_empty() && it.listed)
--- a/crates/wigeonhinge/src/batch/job.rs
+++ b/crates/wigeonhinge/src/batch/job.rs
@@ -20,6 +20,10 @@
 /// Attempts of a queue that no configuration describes any more.
 const DEFAULT_ATTEMPTS: u32 = 3;
 
+/// Time in milliseconds by which a job has to be early to count as one that is in time;
+/// covers the way of its results to the caller.
+const MARGIN_MS: i64 = 150;
+
 /// Position of a task in the order of starts.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct Rank {
@@ -330,7 +334,7 @@
                 .objective(&job.row, job.stretch, job.objective);
             for occurrence in job.occurrences.values_mut() {
                 let rest = self.demand.rest(&job.row, occurrence);
-                let late = wall + rest > occurrence.due_ms + allowed;
+                let late = wall + rest + MARGIN_MS > occurrence.due_ms + allowed;
                 if late && !occurrence.late {
                     occurrence.late = true;
                     moved.push(id.clone());
--- a/crates/wigeonhinge/src/batch/pools.rs
+++ b/crates/wigeonhinge/src/batch/pools.rs
@@ -92,9 +92,18 @@
 }
 
 impl Batch {
-    /// Returns whether machine orders of a predecessor are certainly over.
-    pub(super) fn may_order(&self, now: Time) -> bool {
-        now >= self.started + self.bounds.order_lease + HANDOVER
+    /// Keeps a machine from orders that could take turns with a predecessor's.
+    ///
+    /// A predecessor records its orders before it gives them, so the machines
+    /// that it recorded lately are the only ones that it may still order.
+    pub fn bar_machine(&mut self, machine: VmId, now: Time) {
+        let until = now + self.bounds.order_lease + HANDOVER;
+        self.barred.insert(machine, until);
+    }
+
+    /// Returns whether a predecessor's orders for a machine are certainly over.
+    pub(super) fn may_order(&self, machine: &VmId, now: Time) -> bool {
+        self.barred.get(machine).is_none_or(|until| now >= *until)
     }
 
     pub(super) fn inventory(&mut self, list: Vec<Machine>, now: Time) {
--- a/crates/wigeonhinge/src/batch/upkeep.rs
+++ b/crates/wigeonhinge/src/batch/upkeep.rs
@@ -11,7 +11,6 @@
 use crate::batch::WorkerId;
 use crate::batch::pools::Order;
 use crate::batch::worker::Stage;
-use crate::id::PoolId;
 use crate::id::Time;
 use crate::id::VmId;
 
@@ -27,6 +26,9 @@
 /// Factor on the time that a wave's rest needs, from which busy machines are emptied too.
 const PRESSED: f64 = 1.6;
 
+/// Waiting tasks of a pool from which it needs every machine.
+const STRAINED: usize = 8;
+
 /// Cost from which a machine counts as busy.
 const BUSY: u64 = 100;
 
@@ -140,6 +142,7 @@
         let mut slots = limit.saturating_sub(down);
         let mut prepared = 0;
         let mut emptied = BTreeSet::new();
+        let strained = self.ready.values().any(|ready| ready.len() > STRAINED);
         for (cost, machine) in order {
             if prepared >= limit + AHEAD {
                 break;
@@ -150,28 +153,27 @@
             if held.busy(now) || held.machine.state != MachineState::Up || held.plan.is_some() {
                 continue;
             }
+            if !self.may_order(&machine, now) {
+                continue;
+            }
             // Without pressure a pool empties one machine at a time, beside its idle ones.
             let busy = cost >= BUSY;
-            if busy && !pressed && !emptied.insert(held.machine.pool.clone()) {
+            // A machine that is off is not needed; any other one is while tasks wait.
+            if strained && !pressed && !self.catalog.parked(&held.machine.pool) {
                 continue;
             }
-            if busy && !pressed && self.strained(&held.machine.pool) {
+            if busy && !pressed && !emptied.insert(held.machine.pool.clone()) {
                 continue;
             }
             let worker = held.machine.worker.clone();
             prepared += 1;
-            if self.clear(&worker, urgent, now) && slots > 0 && self.may_order(now) {
+            if self.clear(&worker, urgent, now) && slots > 0 {
                 slots -= 1;
                 self.order(&machine, Order::Maintain(number), now);
             }
         }
     }
 
-    /// Returns whether tasks of a pool wait for room.
-    fn strained(&self, pool: &PoolId) -> bool {
-        self.ready.get(pool).is_some_and(|ready| !ready.is_empty())
-    }
-
     /// Publishes that a wave is complete.
     fn publish(&mut self, number: u64) {
         if let Some(active) = self.upkeep.waves.get_mut(&number) {
