Neither expect nor ask a worker whose machine has another life

Cause: after moves and maintenance the registry lists old workers for some seconds.

Ruled out: a longer limit, since the count itself was wrong.

--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -367,7 +367,10 @@
     }
 
     fn event(&mut self, event: Event) {
-        if let Event::Ordered(_, true) = event {
+        if let Event::Machines(_) = event {
+            self.handle(event);
+            self.drop_handles();
+        } else if let Event::Ordered(_, true) = event {
             self.handle(event);
             let numbers: Vec<u64> = self.waves.keys().copied().collect();
             for number in numbers {
@@ -397,13 +400,14 @@
         }
         self.handle(Event::Tick);
         let now = clock::now();
-        let reaches = self.batch.reaches_most(now);
+        let (heard, expected) = self.batch.reach(now);
+        let reaches = heard * 2 > expected;
         let contact = now.saturating_sub(self.term.renewed.get()) < batch::CONTACT;
         self.extend.set(contact || reaches);
-        if reaches {
+        if reaches || expected == 0 {
             self.isolated = None;
         } else if now.saturating_sub(*self.isolated.get_or_insert(now)) > ISOLATED {
-            self.lost = Some("too few workers answer".into());
+            self.lost = Some(format!("{heard} of {expected} workers answer"));
         }
     }
 
@@ -546,7 +550,11 @@
 
     fn register(&mut self) {
         let entries: Vec<WorkerEntry> = self.registry.values().cloned().collect();
+        self.handle(Event::Workers(entries.clone()));
         for entry in &entries {
+            if !self.batch.expects(&entry.id) {
+                continue;
+            }
             let address = entry.address.parse().ok();
             let known = self.workers.get(&entry.id).map(|it| it.address);
             if known.is_some() && known == address {
@@ -562,9 +570,13 @@
                 None => self.unreadable(&entry.id, "the address is no IP:port"),
             }
         }
-        self.handle(Event::Workers(entries));
+        self.drop_handles();
+    }
+
+    /// Ends the connections to workers that cannot answer any more.
+    fn drop_handles(&mut self) {
         let batch = &self.batch;
-        self.workers.retain(|id, _| batch.knows(id));
+        self.workers.retain(|id, _| batch.expects(id));
     }
 
     fn all_waves(&mut self, items: Vec<Item>) {
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -377,24 +377,26 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Returns whether most of the workers answered lately.
-    pub fn reaches_most(&self, now: Time) -> bool {
-        let heard = |worker: &&Worker| now.saturating_sub(worker.heard) < CONTACT;
+    /// Counts the workers that answered lately, and those that should have.
+    ///
+    /// Workers that just joined, that left, or whose machines were ordered away do not count.
+    pub fn reach(&self, now: Time) -> (usize, usize) {
         let leaving = |worker: &Worker| {
-            worker.ordered.is_some_and(|time| now.saturating_sub(time) < RETURNED)
+            let ordered = worker.ordered;
+            ordered.is_some_and(|time| now.saturating_sub(time) < RETURNED)
         };
-        let listed = self
-            .workers
-            .values()
-            .filter(|worker| !worker.absent && !leaving(worker));
-        let count = listed.clone().filter(heard).count();
-        let all = listed.count();
-        all == 0 || count * 2 > all
+        let expected = self.workers.values().filter(|worker| {
+            let joined = now.saturating_sub(worker.joined) < CONTACT;
+            !worker.absent && !worker.gone && !joined && !leaving(worker)
+        });
+        let heard = |worker: &&Worker| now.saturating_sub(worker.heard) < CONTACT;
+        (expected.clone().filter(heard).count(), expected.count())
     }
 
-    /// Returns whether a worker is listed or may still run something.
-    pub fn knows(&self, worker: &str) -> bool {
-        self.workers.contains_key(worker)
+    /// Returns whether a worker may answer: its machine has no other life, and it
+    /// is listed or may still run something.
+    pub fn expects(&self, worker: &str) -> bool {
+        self.workers.get(worker).is_some_and(|it| !it.gone)
     }
 
     /// Returns one line on each pool for operators.
@@ -431,7 +433,7 @@
                 Some(worker) => worker.update(entry),
                 None => {
                     let id = entry.id.clone();
-                    self.workers.insert(id, Worker::new(entry, now + lease));
+                    self.workers.insert(id, Worker::new(entry, now, now + lease));
                 }
             }
         }
--- a/crates/wigeonhinge/src/batch/pools.rs
+++ b/crates/wigeonhinge/src/batch/pools.rs
@@ -151,8 +151,7 @@
     fn life_ended(&mut self, id: &WorkerId, now: Time) {
         self.forget_runs(id, now);
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.listed = false;
-            worker.absent = true;
+            worker.gone = true;
         }
         self.drop_absent(now);
     }
--- a/crates/wigeonhinge/src/batch/worker.rs
+++ b/crates/wigeonhinge/src/batch/worker.rs
@@ -87,7 +87,10 @@
     /// Whether the registry no longer has it.
     pub(super) absent: bool,
     pub(super) absent_since: Time,
+    /// Whether its machine has another life.
+    pub(super) gone: bool,
     pub(super) born: u64,
+    pub(super) joined: Time,
     pub(super) heard: Time,
     /// When its last lease has certainly ended.
     pub(super) lapse: Time,
@@ -110,7 +113,7 @@
 }
 
 impl Worker {
-    pub(super) fn new(entry: WorkerEntry, lapse: Time) -> Self {
+    pub(super) fn new(entry: WorkerEntry, joined: Time, lapse: Time) -> Self {
         Self {
             born: entry.born,
             entry,
@@ -119,6 +122,8 @@
             listed: false,
             absent: false,
             absent_since: Time::ZERO,
+            gone: false,
+            joined,
             heard: Time::ZERO,
             lapse,
             pause: Time::ZERO,
@@ -168,6 +173,7 @@
     /// Returns whether it may get new work.
     pub(super) fn usable(&self, now: Time) -> bool {
         self.listed
+            && !self.gone
             && !self.missing(now)
             && !self.entry.draining
             && !self.held
@@ -230,7 +236,7 @@
                     id: name.clone(),
                     ..WorkerEntry::default()
                 };
-                let mut worker = Worker::new(entry, now + lease);
+                let mut worker = Worker::new(entry, now, now + lease);
                 worker.absent = true;
                 worker
             });
