Count each failed run once, keep room for lasting tasks, serve metrics

Change: the row holds the highest run that counts as failed; a lasting task without room keeps one worker free until it fits; counters, histograms and pool state on the metrics address.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -24,11 +24,7 @@
 struct Arguments {
     #[options(help = "print this help", no_short)]
     help: bool,
-    #[options(
-        help = "settings file (JSON with comments)",
-        meta = "FILE",
-        no_short
-    )]
+    #[options(help = "settings file (JSON with comments)", meta = "FILE", no_short)]
     settings: Option<PathBuf>,
     #[options(
         help = "run on the users' platform, which names the settings file in its environment",
--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -10,6 +10,7 @@
 mod front;
 mod keys;
 mod lookout;
+mod metrics;
 mod orders;
 mod replica;
 mod role;
@@ -19,6 +20,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,6 +37,7 @@
 use wigeonhinge_platform::store::Store;
 
 use crate::listen::runtime;
+use crate::site::metrics::Metrics;
 use crate::site::replica::Replica;
 
 pub use crate::site::settings::Settings;
@@ -51,10 +54,13 @@
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) log: Logger,
+    pub(crate) metrics: Metrics,
     pub(crate) store: Store,
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
     pub(crate) replica: RefCell<Replica>,
     pub(crate) health: Health,
+    /// What the holder of the role reports of pools and waves.
+    pub(crate) status: RefCell<serde_json::Value>,
     pub(crate) draining: Cell<bool>,
     /// Told when the configuration or the role's key changes.
     pub(crate) changed: event_listener::Event,
@@ -115,21 +121,24 @@
 /// # Errors
 ///
 /// Fails if the settings are wrong or an address cannot be bound.
-pub fn run(path: &PathBuf) -> Result<()> {
+pub fn run(path: &Path) -> Result<()> {
     let settings = Settings::open(path)?;
     let log = crate::report::stdout(&settings.entry, &settings.zone);
     let runtime = runtime::build().wrap_err("cannot build the runtime")?;
-    runtime::block_on(&runtime, serve(settings, path.clone(), log))
+    runtime::block_on(&runtime, serve(settings, path.to_owned(), log))
 }
 
 async fn serve(settings: Settings, path: PathBuf, log: Logger) -> Result<()> {
-    info!(log, "site: starting"; "callers" => %settings.callers, "store" => %settings.store);
+    info!(log, "site: starting"; "callers" => %settings.callers, "store" => %settings.store,
+        "metrics" => ?settings.metrics);
     let shared = Rc::new(Shared {
         store: Store::new(settings.store),
         log: log.clone(),
+        metrics: Metrics::open(),
         catalog: RefCell::new(None),
         replica: RefCell::new(Replica::default()),
         health: Health::default(),
+        status: RefCell::new(serde_json::json!({ "role": false })),
         draining: Cell::new(false),
         changed: event_listener::Event::new(),
         settings,
--- a/crates/daemon/src/site/front.rs
+++ b/crates/daemon/src/site/front.rs
@@ -78,6 +78,14 @@
 /// Header with the time for which a caller waits, in milliseconds.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 
+/// Who asks at a listener.
+#[derive(Clone, Copy, Debug)]
+enum Port {
+    Callers,
+    Operators,
+    Readiness,
+}
+
 /// Running listeners.
 pub(super) struct Served {
     shared: Rc<Shared>,
@@ -107,10 +115,16 @@
     let settings = &shared.settings;
     let callers = listener(settings.callers).wrap_err("cannot listen for callers")?;
     let readiness = listener(settings.readiness).wrap_err("cannot listen for the balancer")?;
-    let accepting = vec![
-        compio::runtime::spawn(accept(Rc::clone(shared), callers, Rc::clone(&open), false)),
-        compio::runtime::spawn(accept(Rc::clone(shared), readiness, Rc::default(), true)),
-    ];
+    let mut listeners = vec![(callers, Port::Callers), (readiness, Port::Readiness)];
+    if let Some(address) = settings.metrics {
+        let metrics = listener(address).wrap_err("cannot listen for operators")?;
+        listeners.push((metrics, Port::Operators));
+    }
+    let accepting = listeners.into_iter().map(|(listener, port)| {
+        let task = accept(Rc::clone(shared), listener, Rc::clone(&open), port);
+        compio::runtime::spawn(task)
+    });
+    let accepting = accepting.collect();
     Ok(Served {
         shared: Rc::clone(shared),
         open,
@@ -130,11 +144,11 @@
     TcpListener::from_std(socket.into())
 }
 
-async fn accept(shared: Rc<Shared>, listener: TcpListener, open: Rc<Cell<usize>>, check: bool) {
+async fn accept(shared: Rc<Shared>, listener: TcpListener, open: Rc<Cell<usize>>, port: Port) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let task = converse(Rc::clone(&shared), stream, Rc::clone(&open), check);
+                let task = converse(Rc::clone(&shared), stream, Rc::clone(&open), port);
                 compio::runtime::spawn(task).detach();
             }
             Err(error) => {
@@ -145,19 +159,24 @@
     }
 }
 
-async fn converse(shared: Rc<Shared>, stream: TcpStream, open: Rc<Cell<usize>>, check: bool) {
+async fn converse(shared: Rc<Shared>, stream: TcpStream, open: Rc<Cell<usize>>, port: Port) {
     // Without it, answers may wait for an acknowledgement; the connection works all the same.
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request| {
         let shared = Rc::clone(&shared);
         let open = Rc::clone(&open);
         async move {
-            let answer = match check {
-                true => ready(&shared),
-                false => {
+            let answer = match port {
+                Port::Readiness => ready(&shared),
+                Port::Operators => operate(&shared, request.uri().path()),
+                Port::Callers => {
+                    let began = clock::now();
                     open.set(open.get() + 1);
                     let answer = respond(&shared, request).await;
                     open.set(open.get() - 1);
+                    let name = format!("answer.{}", answer.status.as_u16());
+                    shared.metrics.count(&name);
+                    shared.metrics.time("answer", clock::now() - began);
                     answer
                 }
             };
@@ -229,6 +248,15 @@
     Answer::error(StatusCode::SERVICE_UNAVAILABLE, reason)
 }
 
+/// Answers `/metrics` and `/status`.
+fn operate(shared: &Shared, path: &str) -> Answer {
+    match path {
+        "/metrics" => Answer::new(StatusCode::OK, shared.metrics.page()),
+        "/status" => Answer::new(StatusCode::OK, shared.status.borrow().to_string()),
+        _ => Answer::error(StatusCode::NOT_FOUND, "/metrics or /status"),
+    }
+}
+
 async fn respond(shared: &Shared, request: Request<Incoming>) -> Answer {
     let arrived = clock::now();
     let Some(catalog) = shared.catalog.borrow().clone() else {
--- a/crates/daemon/src/site/lookout.rs
+++ b/crates/daemon/src/site/lookout.rs
@@ -44,7 +44,12 @@
 #[derive(Debug)]
 pub(super) enum Order {
     /// Start a run.
-    Start(TaskId, Run, compact_str::CompactString, compact_str::CompactString),
+    Start(
+        TaskId,
+        Run,
+        compact_str::CompactString,
+        compact_str::CompactString,
+    ),
     /// Stop a run.
     Stop(TaskId, Run),
     /// Let a run work at a share of its speed, in percent.
--- a/crates/daemon/src/site/orders.rs
+++ b/crates/daemon/src/site/orders.rs
@@ -75,7 +75,10 @@
                 "answer" => ?reply);
             matches!(reply, Ok(Ok(())))
         };
-        if inbox.send(Message::Event(Event::Ordered(machine, done))).is_err() {
+        if inbox
+            .send(Message::Event(Event::Ordered(machine, done)))
+            .is_err()
+        {
             return;
         }
     }
--- a/crates/daemon/src/site/replica.rs
+++ b/crates/daemon/src/site/replica.rs
@@ -61,9 +61,8 @@
 
     /// Counts the jobs of a queue that have not started.
     pub(crate) fn waiting(&self, queue: &str) -> usize {
-        let waits = |known: &&Known| {
-            known.queue == queue && known.open && known.shown() == Phase::Pending
-        };
+        let waits =
+            |known: &&Known| known.queue == queue && known.open && known.shown() == Phase::Pending;
         self.jobs.values().filter(waits).count()
     }
 
--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -22,6 +22,7 @@
 use wigeonhinge::batch::Event;
 use wigeonhinge::batch::JobRow;
 use wigeonhinge::batch::ProgressRow;
+use wigeonhinge::batch::Reply;
 use wigeonhinge::batch::Wave;
 use wigeonhinge::batch::WorkerEntry;
 use wigeonhinge::batch::WorkerId;
@@ -51,6 +52,9 @@
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Ticks between two publications of the state for operators.
+const STATUS_TICKS: u64 = 20;
+
 /// Messages that are handled before the rows are written.
 const BURST: usize = 128;
 
@@ -107,6 +111,7 @@
     ordered: BTreeMap<VmId, i64>,
     /// Orders whose record is not stored yet.
     unrecorded: Vec<(VmId, machines::Order)>,
+    ticks: u64,
     writing: bool,
     written: u64,
     extend: Rc<Cell<bool>>,
@@ -149,7 +154,10 @@
     role._tasks.push(renewal);
     info!(shared.log, "role: at work"; "fence" => role.term.fence,
         "after_ms" => (clock::now() - began).as_millis() as u64);
+    shared.metrics.count("role.taken");
+    shared.metrics.time("role.takeover", clock::now() - began);
     let reason = role.work(&messages, resigned).await;
+    *shared.status.borrow_mut() = serde_json::json!({ "role": false });
     while role.writing && shared.draining.get() {
         // A successor begins once the last write is done.
         match compio::time::timeout(CALL, messages.recv_async()).await {
@@ -219,6 +227,7 @@
             machine_orders,
             ordered: BTreeMap::new(),
             unrecorded: Vec::new(),
+            ticks: 0,
             writing: false,
             written: 0,
             extend: Rc::new(Cell::new(true)),
@@ -308,6 +317,8 @@
                 }
             }
             if clock::now() >= next {
+                let late = clock::now() - next;
+                self.shared.metrics.time("role.tick_late", late);
                 next = clock::now() + TICK;
                 self.tick();
             }
@@ -350,6 +361,7 @@
                 self.writing = false;
                 self.term.revision = revision;
                 let writes = brought.writes;
+                self.shared.metrics.add("role.rows", writes.len());
                 for order in brought.orders {
                     // The receiver lives as long as this role.
                     let _ = self.machine_orders.send(order);
@@ -399,6 +411,10 @@
             self.handle(Event::Configure((*catalog).clone()));
         }
         self.handle(Event::Tick);
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(STATUS_TICKS) {
+            self.publish();
+        }
         let now = clock::now();
         let (heard, expected) = self.batch.reach(now);
         let reaches = heard * 2 > expected;
@@ -411,7 +427,49 @@
         }
     }
 
+    /// Counts what workers and machines answered.
+    fn count(&self, event: &Event) {
+        let metrics = &self.shared.metrics;
+        match event {
+            Event::Report(_, report) => {
+                metrics.count("worker.look");
+                metrics.add("worker.end", report.finished.len());
+            }
+            Event::Started(_, _, _, reply) => metrics.count(match reply {
+                Reply::Started => "start.done",
+                Reply::NoRoom => "start.no_room",
+                Reply::Refused => "start.refused",
+                Reply::Unhealthy => "start.unhealthy",
+                Reply::Unknown => "start.unknown",
+            }),
+            Event::Stopped(..) => metrics.count("stop"),
+            Event::Ordered(_, true) => metrics.count("machine.ordered"),
+            Event::Ordered(_, false) => metrics.count("machine.refused"),
+            _ => {}
+        }
+    }
+
+    /// Publishes the state of pools and waves for operators.
+    fn publish(&self) {
+        let pools = self.batch.summary();
+        let waiting = pools.values().map(|(.., waiting)| *waiting as u64).sum();
+        self.shared.metrics.gauge("tasks.waiting", waiting);
+        let pools = pools.into_iter().map(|(pool, (workers, runs, waiting))| {
+            let row = serde_json::json!({ "workers": workers, "runs": runs, "waiting": waiting });
+            (pool.to_string(), row)
+        });
+        let pools: serde_json::Map<String, serde_json::Value> = pools.collect();
+        let waves = serde_json::to_value(&self.waves).unwrap_or_default();
+        *self.shared.status.borrow_mut() = serde_json::json!({
+            "role": true,
+            "fence": self.term.fence,
+            "pools": pools,
+            "waves": waves,
+        });
+    }
+
     fn handle(&mut self, event: Event) {
+        self.count(&event);
         let actions = self.batch.handle(event, clock::now());
         self.act(actions);
     }
@@ -660,11 +718,7 @@
 }
 
 /// Starts the watches on jobs, workers and waves.
-fn watches(
-    shared: &Rc<Shared>,
-    stored: &Stored,
-    inbox: &Sender<Message>,
-) -> Vec<JoinHandle<()>> {
+fn watches(shared: &Rc<Shared>, stored: &Stored, inbox: &Sender<Message>) -> Vec<JoinHandle<()>> {
     let inputs = Watch::open(shared, keys::INPUT).after(stored.inputs.1);
     let workers = Watch::open(shared, records::WORKERS).after(stored.workers.1);
     let waves = Watch::open(shared, records::WAVES);
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -233,6 +233,8 @@
     ready: BTreeMap<PoolId, BTreeSet<Rank>>,
     /// Pools in which a task may find room since the last pass.
     stale: BTreeSet<PoolId>,
+    /// Workers that are left to run empty until a lasting task fits.
+    reservations: BTreeMap<TaskId, WorkerId>,
     workers: BTreeMap<WorkerId, Worker>,
     demand: Demand,
     needs: Needs,
@@ -264,6 +266,7 @@
             dirty: BTreeSet::new(),
             ready: BTreeMap::new(),
             stale: BTreeSet::new(),
+            reservations: BTreeMap::new(),
             workers: BTreeMap::new(),
             demand: Demand::default(),
             needs: Needs::default(),
@@ -433,7 +436,8 @@
                 Some(worker) => worker.update(entry),
                 None => {
                     let id = entry.id.clone();
-                    self.workers.insert(id, Worker::new(entry, now, now + lease));
+                    self.workers
+                        .insert(id, Worker::new(entry, now, now + lease));
                 }
             }
         }
--- a/crates/wigeonhinge/src/batch/balance.rs
+++ b/crates/wigeonhinge/src/batch/balance.rs
@@ -211,12 +211,14 @@
                 None if parked => 0,
                 None => continue,
                 Some(worker) if worker.anchored() || worker.entry.draining => continue,
-                Some(worker) => worker
-                    .runs
-                    .values()
-                    .map(|run| u64::from(101 - run.percent.min(100)))
-                    .sum::<u64>()
-                    + 1,
+                Some(worker) => {
+                    worker
+                        .runs
+                        .values()
+                        .map(|run| u64::from(101 - run.percent.min(100)))
+                        .sum::<u64>()
+                        + 1
+                }
             };
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, id.clone(), index));
@@ -231,7 +233,9 @@
         };
         let from = held.machine.pool.clone();
         held.plan = Some(pool.clone());
-        self.note(format!("pools: machine {machine} is to move from {from} to {pool}"));
+        self.note(format!(
+            "pools: machine {machine} is to move from {from} to {pool}"
+        ));
         self.follow_plan(machine, now);
     }
 
@@ -319,7 +323,10 @@
 
 /// Returns the pool that lacks the largest share of what it needs.
 fn neediest(standings: &[Standing]) -> Option<usize> {
-    let lacking = standings.iter().enumerate().filter(|(_, it)| it.shortage() > 0);
+    let lacking = standings
+        .iter()
+        .enumerate()
+        .filter(|(_, it)| it.shortage() > 0);
     lacking
         .max_by_key(|(_, it)| it.shortage() * 1_000 / it.need.max(1))
         .map(|(index, _)| index)
--- a/crates/wigeonhinge/src/batch/job.rs
+++ b/crates/wigeonhinge/src/batch/job.rs
@@ -164,6 +164,7 @@
                 task.done(),
                 task.worker().cloned().unwrap_or_default(),
                 task.saved.clone(),
+                task.judged,
             )
         });
         ProgressRow {
@@ -176,7 +177,8 @@
 
     fn apply(&mut self, progress: ProgressRow) {
         self.phase = progress.phase;
-        for TaskRow(occurrence, step, index, run, fails, done, worker, saved) in progress.tasks {
+        for row in progress.tasks {
+            let TaskRow(occurrence, step, index, run, fails, done, worker, saved, judged) = row;
             let Some(entry) = self.occurrences.get_mut(&occurrence) else {
                 continue;
             };
@@ -188,6 +190,7 @@
             };
             task.run = run;
             task.fails = fails;
+            task.judged = judged;
             task.saved = saved;
             if done {
                 task.status = Status::Done;
@@ -279,16 +282,14 @@
             if occurrence.due_ms > wall && job.row.job.repeat > 0 {
                 continue;
             }
-            let deadline_ms = occurrence.due_ms
-                + self
-                    .demand
-                    .objective(&job.row, job.stretch, job.objective);
+            let deadline_ms =
+                occurrence.due_ms + self.demand.objective(&job.row, job.stretch, job.objective);
             for (index, step) in job.row.job.steps.iter().enumerate() {
                 if !occurrence.open(step) {
                     continue;
                 }
-                let gang_waits = step.gang
-                    && !occurrence.steps[index].tasks.iter().all(Task::waiting);
+                let gang_waits =
+                    step.gang && !occurrence.steps[index].tasks.iter().all(Task::waiting);
                 if gang_waits {
                     continue;
                 }
@@ -300,7 +301,11 @@
                     ready.insert(Rank {
                         late: occurrence.late && !step.lasting,
                         priority: job.priority,
-                        deadline_ms,
+                        // A lasting task loses by each moment that it is away.
+                        deadline_ms: match step.lasting {
+                            true => i64::MIN,
+                            false => deadline_ms,
+                        },
                         task: TaskId {
                             job: id.clone(),
                             occurrence: *number,
@@ -329,9 +334,7 @@
         let wall = self.wall_ms(now);
         let mut moved = Vec::new();
         for (id, job) in &mut self.jobs {
-            let allowed = self
-                .demand
-                .objective(&job.row, job.stretch, job.objective);
+            let allowed = self.demand.objective(&job.row, job.stretch, job.objective);
             for occurrence in job.occurrences.values_mut() {
                 let rest = self.demand.rest(&job.row, occurrence);
                 let late = wall + rest + MARGIN_MS > occurrence.due_ms + allowed;
@@ -372,6 +375,7 @@
         for ready in self.ready.values_mut() {
             ready.retain(|rank| rank.task.job != *id);
         }
+        self.reservations.retain(|task, _| task.job != *id);
         for (task, state) in job.tasks() {
             if let Some(worker) = state.worker() {
                 self.stop(&worker.clone(), &task);
@@ -392,5 +396,4 @@
     pub(super) fn wall_ms(&self, now: Time) -> i64 {
         self.epoch_ms + now.as_millis() as i64
     }
-
 }
--- a/crates/wigeonhinge/src/batch/place.rs
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::batch::Batch;
 use crate::batch::Phase;
@@ -31,6 +32,8 @@
     fn place_pool(&mut self, pool: &PoolId, now: Time) {
         let mut misses = 0;
         let mut placed = Vec::new();
+        // Workers that are left to run empty until a lasting task fits.
+        let mut reserved = BTreeSet::new();
         let Some(ready) = self.ready.get(pool) else {
             return;
         };
@@ -39,20 +42,27 @@
             if misses >= MISSES {
                 break;
             }
-            match self.place_task(&rank.task, now) {
+            match self.place_task(&rank.task, &reserved, now) {
                 true => placed.push(rank),
-                false => misses += 1,
+                false => {
+                    misses += 1;
+                    if let Some(worker) = self.reservation(&rank.task, &reserved, now) {
+                        self.reservations.insert(rank.task.clone(), worker.clone());
+                        reserved.insert(worker);
+                    }
+                }
             }
         }
         if let Some(ready) = self.ready.get_mut(pool) {
             for rank in placed {
                 ready.remove(&rank);
+                self.reservations.remove(&rank.task);
             }
         }
     }
 
     /// Reserves room for a task, or for its whole gang; returns whether it did.
-    fn place_task(&mut self, task: &TaskId, now: Time) -> bool {
+    fn place_task(&mut self, task: &TaskId, reserved: &BTreeSet<WorkerId>, now: Time) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return true;
         };
@@ -71,7 +81,7 @@
                 index: task.index + offset,
                 ..task.clone()
             };
-            let worker = self.choose(&member, &step, &chosen, now);
+            let worker = self.choose(&member, &step, (&chosen, reserved), now);
             let state = self.jobs.get(&task.job).and_then(|job| job.task(&member));
             let (Some(worker), Some(state)) = (worker, state) else {
                 return false;
@@ -103,7 +113,10 @@
             };
         }
         if let Some(entry) = self.workers.get_mut(worker) {
-            entry.insert(task.clone(), RunState::new(run, &step, Stage::Reserved, now));
+            entry.insert(
+                task.clone(),
+                RunState::new(run, &step, Stage::Reserved, now),
+            );
         }
     }
 
@@ -111,7 +124,7 @@
         &self,
         task: &TaskId,
         step: &Step,
-        chosen: &[(TaskId, WorkerId)],
+        (chosen, reserved): (&[(TaskId, WorkerId)], &BTreeSet<WorkerId>),
         now: Time,
     ) -> Option<WorkerId> {
         let job = self.jobs.get(&task.job)?;
@@ -124,10 +137,11 @@
             *taken.entry(worker).or_default() += 1;
         }
         let fits = |id: &WorkerId, worker: &Worker| {
-            let reserved = scaled(step.size(), taken.get(id).copied().unwrap_or(0));
+            let promised = scaled(step.size(), taken.get(id).copied().unwrap_or(0));
             worker.entry.pool == job.pool
                 && worker.usable(now)
-                && step.size().fits(worker.free().minus(reserved))
+                && !reserved.contains(id)
+                && step.size().fits(worker.free().minus(promised))
                 && (step.requires.is_empty() || worker.entry.labels.contains(&step.requires))
                 && (step.spread == 0 || self.siblings(worker, task, &taken) < step.spread)
         };
@@ -144,13 +158,56 @@
             .filter(|(id, worker)| fits(id, worker))
             .min_by_key(|(id, worker)| {
                 let shunned = state.shun.as_ref() == Some(*id);
-                let far = !step.affinity.is_empty() && !worker.entry.labels.contains(&step.affinity);
+                let far =
+                    !step.affinity.is_empty() && !worker.entry.labels.contains(&step.affinity);
                 let apart = rack.is_some_and(|it| it.entry.labels != worker.entry.labels);
                 (shunned, far, apart, worker.streak, crowding(step, worker))
             })
             .map(|(id, _)| id.clone())
     }
 
+    /// Returns the worker that a lasting task without room will fit on first.
+    ///
+    /// Short tasks would take each bit of room that others leave, and the
+    /// larger lasting task would never fit.
+    fn reservation(
+        &self,
+        task: &TaskId,
+        reserved: &BTreeSet<WorkerId>,
+        now: Time,
+    ) -> Option<WorkerId> {
+        let job = self.jobs.get(&task.job)?;
+        let step = job.step(task.step).filter(|step| step.lasting)?;
+        let none = BTreeMap::new();
+        let suits = |id: &WorkerId, worker: &Worker| {
+            worker.entry.pool == job.pool
+                && worker.usable(now)
+                && !worker.paused(now)
+                && !reserved.contains(id)
+                && step.size().fits(worker.entry.capacity)
+                && (step.requires.is_empty() || worker.entry.labels.contains(&step.requires))
+                && (step.spread == 0 || self.siblings(worker, task, &none) < step.spread)
+        };
+        // A worker that was reserved before stays so; another one would begin anew.
+        if let Some(id) = self.reservations.get(task)
+            && self.workers.get(id).is_some_and(|worker| suits(id, worker))
+        {
+            return Some(id.clone());
+        }
+        self.workers
+            .iter()
+            .filter(|(id, worker)| suits(id, worker))
+            .max_by_key(|(_, worker)| {
+                let free = worker.free();
+                let short = step.size().minus(free);
+                (
+                    Reverse((short.millicores, short.memory_mb)),
+                    free.millicores,
+                )
+            })
+            .map(|(id, _)| id.clone())
+    }
+
     /// Counts the tasks of a task's step and occurrence on a worker.
     fn siblings(&self, worker: &Worker, task: &TaskId, taken: &BTreeMap<&WorkerId, u64>) -> u32 {
         let first = TaskId {
--- a/crates/wigeonhinge/src/batch/report.rs
+++ b/crates/wigeonhinge/src/batch/report.rs
@@ -198,7 +198,9 @@
                 }
                 return Some(self.task_done(task, now));
             }
-            End::Failed if !step.lasting => {
+            // A successor sees an end again whose acknowledgement was lost.
+            End::Failed if !step.lasting && ended.run > state.judged => {
+                state.judged = ended.run;
                 state.fails += 1;
                 if state.fails >= attempts {
                     self.note(format!("jobs: {task} failed {attempts} times"));
--- a/crates/wigeonhinge/src/batch/row.rs
+++ b/crates/wigeonhinge/src/batch/row.rs
@@ -83,4 +83,7 @@
     pub WorkerId,
     /// Newest checkpoint; empty for none.
     pub CompactString,
+    /// Highest run that counts among the failed ones.
+    #[serde(default)]
+    pub Run,
 );
--- a/crates/wigeonhinge/src/batch/task.rs
+++ b/crates/wigeonhinge/src/batch/task.rs
@@ -79,6 +79,8 @@
     /// Highest run that may have been started.
     pub(super) run: Run,
     pub(super) fails: u32,
+    /// Highest run that counts among them.
+    pub(super) judged: Run,
     pub(super) saved: CompactString,
     /// Worker on which the last run ended badly.
     pub(super) shun: Option<WorkerId>,
--- a/crates/wigeonhinge/src/batch/upkeep.rs
+++ b/crates/wigeonhinge/src/batch/upkeep.rs
@@ -237,7 +237,10 @@
     /// Returns whether a task would find room on another worker.
     fn has_place(&self, task: &TaskId, now: Time) -> bool {
         let step = self.jobs.get(&task.job).and_then(|it| it.step(task.step));
-        step.is_none_or(|step| self.choose(task, step, &[], now).is_some())
+        step.is_none_or(|step| {
+            self.choose(task, step, (&[], &BTreeSet::new()), now)
+                .is_some()
+        })
     }
 
     /// Returns whether an order may end a lasting task's run now.
@@ -255,9 +258,7 @@
         let away = siblings.filter(|(id, state)| {
             let worker = state.worker().and_then(|worker| self.workers.get(worker));
             let run = worker.and_then(|worker| worker.runs.get(id));
-            !run.is_some_and(|run| {
-                matches!(run.stage, Stage::Confirmed(_)) && run.percent >= 100
-            })
+            !run.is_some_and(|run| matches!(run.stage, Stage::Confirmed(_)) && run.percent >= 100)
         });
         away.count() < limit
     }
--- a/crates/wigeonhinge/src/batch/worker.rs
+++ b/crates/wigeonhinge/src/batch/worker.rs
@@ -413,7 +413,9 @@
             if let Some(entry) = self.workers.get_mut(&worker) {
                 entry.remove(&task);
             }
-            self.note(format!("jobs: lease of worker {worker} ended, {task} run {run} is lost"));
+            self.note(format!(
+                "jobs: lease of worker {worker} ended, {task} run {run} is lost"
+            ));
             self.lost(&worker, &task, run, now);
         }
         for (worker, task, run) in stops {
@@ -435,7 +437,9 @@
         if entry.streak >= FAIL_STREAK {
             entry.pause = now + QUARANTINE;
             entry.streak = FAIL_STREAK - 1;
-            self.note(format!("jobs: worker {worker} is quarantined after failed runs"));
+            self.note(format!(
+                "jobs: worker {worker} is quarantined after failed runs"
+            ));
         }
     }
 
--- a/crates/wigeonhinge/tests/batch.rs
+++ b/crates/wigeonhinge/tests/batch.rs
@@ -82,7 +82,12 @@
         })
         .expect("a start");
     let id = task("j.0.0.0");
-    cluster.event(Event::Started(worker.clone(), id.clone(), run, Reply::Unknown));
+    cluster.event(Event::Started(
+        worker.clone(),
+        id.clone(),
+        run,
+        Reply::Unknown,
+    ));
     cluster.now += SECOND;
     cluster.look();
     cluster.store();
@@ -271,3 +276,49 @@
     }
     panic!("the run stayed on {first}");
 }
+
+/// Short tasks must not take every bit of room that a larger lasting task waits for.
+#[test]
+fn lasting_fits_in_flood() {
+    let short = Step {
+        millicores: 4_000,
+        ..step(40)
+    };
+    let lasting = Step {
+        lasting: true,
+        millicores: 6_000,
+        ..step(1)
+    };
+    let mut cluster = Cluster::open(&["w1", "w2"]);
+    cluster.submit(job("flood", vec![short]));
+    cluster.store();
+    cluster.submit(job("server", vec![lasting]));
+    cluster.store();
+    for index in 0..8 {
+        cluster.end(&format!("flood.0.0.{index}"), End::Done);
+        cluster.pass(Duration::from_millis(100));
+        if cluster.copies("server.0.0.0") == 1 {
+            return;
+        }
+    }
+    panic!("the lasting task found no room");
+}
+
+/// A successor sees ends again whose acknowledgement was lost; each counts once.
+#[test]
+fn failures_seen_again() {
+    let mut cluster = Cluster::open(&["w1", "w2", "w3"]);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    cluster.end("j.0.0.0", End::Failed);
+    cluster.prompt = false;
+    cluster.look();
+    cluster.store();
+    cluster.prompt = true;
+    cluster.succeed();
+    cluster.pass(SECOND);
+    cluster.end("j.0.0.0", End::Failed);
+    cluster.pass(SECOND);
+    assert_eq!(cluster.rows["j"].phase, Phase::Active);
+    assert_eq!(cluster.copies("j.0.0.0"), 1);
+}
