Empty as many machines for a wave at a time as the time left asks for; add explain

Cause: on the grown sites one machine a pool at a time left 2 to 11 of some 170 machines of a wave too late.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod diff;
 pub mod document;
+pub mod explain;
 pub mod import;
 pub mod measure;
 pub mod options;
@@ -60,6 +61,7 @@
         Command::Status(options) => status::run(&options),
         Command::Audit(options) => audit::run(&options),
         Command::Wave(options) => wave::run(&options),
+        Command::Explain(options) => explain::run(&options),
         Command::Measure(options) => measure::command::run(&options),
         Command::Identity(options) => identity::run(&options),
         Command::Demo(options) => demo::run(&options),
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -39,6 +39,9 @@
     /// Controls the maintenance wave of a region.
     #[options(help = "start, pause, resume, abort or show the maintenance wave of a region")]
     Wave(WaveOptions),
+    /// Explains what happened to a job.
+    #[options(help = "print what the entries' logs say of a job, in order of time")]
+    Explain(ExplainOptions),
     /// Measures a decision against its baselines and bound.
     #[options(help = "measure a decision against its baselines and its bound")]
     Measure(MeasureOptions),
@@ -53,6 +56,20 @@
     Import(ImportOptions),
 }
 
+/// Options of `explain`.
+#[derive(Debug, Options)]
+pub struct ExplainOptions {
+    /// Whether to print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Identifier of the job, and files of log lines; standard input if there are none.
+    #[options(
+        free,
+        help = "id of the job, then files of log lines (default: standard input)"
+    )]
+    pub words: Vec<String>,
+}
+
 /// Options of `check`.
 #[derive(Debug, Options)]
 pub struct CheckOptions {
--- a/crates/wigeonhinge/src/batch/upkeep.rs
+++ b/crates/wigeonhinge/src/batch/upkeep.rs
@@ -11,6 +11,7 @@
 use crate::batch::WorkerId;
 use crate::batch::pools::Order;
 use crate::batch::worker::Stage;
+use crate::id::PoolId;
 use crate::id::Time;
 use crate::id::VmId;
 
@@ -29,6 +30,9 @@
 /// Waiting tasks of a pool from which it needs every machine.
 const STRAINED: usize = 8;
 
+/// Time in which a machine with lasting tasks is emptied.
+const EMPTYING: Duration = Duration::from_millis(3_000);
+
 /// Cost from which a machine counts as busy.
 const BUSY: u64 = 100;
 
@@ -141,7 +145,9 @@
         order.sort();
         let mut slots = limit.saturating_sub(down);
         let mut prepared = 0;
-        let mut emptied = BTreeSet::new();
+        let left = active.due.saturating_sub(now + URGENT).as_secs_f64();
+        let allowed = self.emptied_at_once(&order, left);
+        let mut emptied: BTreeMap<PoolId, usize> = BTreeMap::new();
         let strained = self.ready.values().any(|ready| ready.len() > STRAINED);
         for (cost, machine) in order {
             if prepared >= limit + AHEAD {
@@ -162,8 +168,13 @@
             if strained && !pressed && !self.catalog.parked(&held.machine.pool) {
                 continue;
             }
-            if busy && !pressed && !emptied.insert(held.machine.pool.clone()) {
-                continue;
+            if busy && !pressed {
+                let pool = &held.machine.pool;
+                let count = emptied.entry(pool.clone()).or_default();
+                *count += 1;
+                if *count > allowed.get(pool).copied().unwrap_or(1) {
+                    continue;
+                }
             }
             let worker = held.machine.worker.clone();
             prepared += 1;
@@ -174,6 +185,22 @@
         }
     }
 
+    /// Returns how many busy machines of each pool are emptied at a time, so that all
+    /// of them have their turn in the seconds that are left.
+    fn emptied_at_once(&self, order: &[(u64, VmId)], left: f64) -> BTreeMap<PoolId, usize> {
+        let mut busy: BTreeMap<PoolId, usize> = BTreeMap::new();
+        for (_, machine) in order.iter().filter(|(cost, _)| *cost >= BUSY) {
+            if let Some(held) = self.machines.get(machine) {
+                *busy.entry(held.machine.pool.clone()).or_default() += 1;
+            }
+        }
+        let turn = EMPTYING.as_secs_f64();
+        let share = |count: usize| (count as f64 * turn / left.max(turn)).ceil() as usize;
+        busy.into_iter()
+            .map(|(pool, count)| (pool, share(count).max(1)))
+            .collect()
+    }
+
     /// Publishes that a wave is complete.
     fn publish(&mut self, number: u64) {
         if let Some(active) = self.upkeep.waves.get_mut(&number) {
