--- a/crates/wigeonhinge/src/batch/balance.rs
+++ b/crates/wigeonhinge/src/batch/balance.rs
@@ -23,6 +23,10 @@
 /// Time ahead for which a rising demand is extrapolated; a move takes about that long.
 const LEAD: f64 = 1.2;
 
+/// Machines beyond its demand that a pool asks for because short tasks keep apart;
+/// a job earns as much as about five moves cost.
+const APART: usize = 3;
+
 /// Machines that a pool keeps if it has a queue.
 const LEAST: usize = 1;
 
@@ -140,7 +144,8 @@
                 sum.1 += run.size.memory_mb;
             }
         }
-        let mut spread = 0;
+        let mut apart = 0;
+        let mut lasting_apart = 0;
         for rank in self.ready.get(pool).into_iter().flatten() {
             let Some(job) = self.jobs.get(&rank.task.job) else {
                 continue;
@@ -151,7 +156,12 @@
             short.0 += step.size().millicores;
             short.1 += step.size().memory_mb;
             if step.spread > 0 {
-                spread = spread.max(step.count.div_ceil(step.spread) as usize);
+                let hosts = step.count.div_ceil(step.spread) as usize;
+                let most = match step.lasting {
+                    true => &mut lasting_apart,
+                    false => &mut apart,
+                };
+                *most = hosts.max(*most);
             }
         }
         let size = self.machine_size(pool);
@@ -160,8 +170,10 @@
         let memory = (lasting.1 + short.1) as f64;
         let machines = (cores / size.0).max(memory / size.1) / FILL;
         let leaving = usize::from(self.anchor_leaves(pool));
-        (machines.ceil() as usize)
-            .max(spread)
+        let machines = machines.ceil() as usize;
+        machines
+            .max(apart.min(machines + APART))
+            .max(lasting_apart)
             .max(anchors + leaving)
             .max(LEAST)
     }
--- a/crates/wigeonhinge/tests/support/cluster.rs
+++ b/crates/wigeonhinge/tests/support/cluster.rs
@@ -1,5 +1,5 @@
 //! A store and workers in memory around a `Batch`, for its tests.
-#![allow(dead_code)]
+#![allow(dead_code, unreachable_pub)]
 
 use std::collections::BTreeMap;
 use std::time::Duration;
