Count the jobs that a successor reads as arrived when they were accepted; test pools and waves

Cause: after a takeover all open jobs counted as arrivals of that moment, and machines moved for a flood that was none (test: 4 moves instead of 0).

--- a/crates/wigeonhinge/src/batch/demand.rs
+++ b/crates/wigeonhinge/src/batch/demand.rs
@@ -113,8 +113,8 @@
         ends.into_iter().fold(0.0, f64::max)
     }
 
-    /// Notes the work of a job that arrived.
-    pub(super) fn arrived(&mut self, row: &JobRow, now: Time) {
+    /// Notes the work of a job that arrived at `time`; a successor learns of it later.
+    pub(super) fn arrived(&mut self, row: &JobRow, time: Time, now: Time) {
         let work = row.job.steps.iter().filter(|step| !step.lasting);
         let work = work.map(|step| {
             let time = self.expect(&row.queue, step);
@@ -123,8 +123,11 @@
         let work: f64 = work.sum();
         if work > 0.0 {
             self.first.get_or_insert(now);
+            if now.saturating_sub(time) > WINDOW {
+                return;
+            }
             let arrivals = self.arrivals.entry(row.queue.clone()).or_default();
-            arrivals.push_back((now, work));
+            arrivals.push_back((time, work));
         }
     }
 
--- a/crates/wigeonhinge/src/batch/job.rs
+++ b/crates/wigeonhinge/src/batch/job.rs
@@ -229,7 +229,9 @@
         if self.jobs.contains_key(&id) || self.ended.contains_key(&id) || terminal {
             return;
         }
-        self.demand.arrived(&row, now);
+        let age = self.wall_ms(now).saturating_sub(row.accepted_ms);
+        let age = Duration::from_millis(u64::try_from(age).unwrap_or(0));
+        self.demand.arrived(&row, now.saturating_sub(age), now);
         let queue = self.catalog.queue(&row.queue).cloned();
         let mut job = Job::new(row, queue.as_ref());
         if let Some(progress) = progress {
@@ -376,6 +378,8 @@
             ready.retain(|rank| rank.task.job != *id);
         }
         self.reservations.retain(|task, _| task.job != *id);
+        let age = self.wall_ms(now) - job.row.accepted_ms;
+        self.note(format!("jobs: job {id} ended as {phase:?}, {age} ms after it was accepted"));
         for (task, state) in job.tasks() {
             if let Some(worker) = state.worker() {
                 self.stop(&worker.clone(), &task);
--- a/crates/wigeonhinge/src/batch/report.rs
+++ b/crates/wigeonhinge/src/batch/report.rs
@@ -158,6 +158,9 @@
             End::Failed if !lasting => self.judge(id, true, now),
             End::Failed | End::Interrupted => {}
         }
+        if ended.end == End::Failed {
+            self.note(format!("jobs: {task} run {run} failed on worker {id}"));
+        }
         let version = self.settle(id, &ended, elapsed, now);
         if let (Some(version), Some(worker)) = (version, self.workers.get_mut(id)) {
             worker.add_end(*number, task.job.clone(), version);
--- a/crates/wigeonhinge/tests/batch.rs
+++ b/crates/wigeonhinge/tests/batch.rs
@@ -322,3 +322,25 @@
     assert_eq!(cluster.rows["j"].phase, Phase::Active);
     assert_eq!(cluster.copies("j.0.0.0"), 1);
 }
+
+/// Jobs that a successor reads did not all arrive at that moment.
+#[test]
+fn takeover_demand() {
+    let mut cluster = Cluster::open(&["w1", "w2"]);
+    let mut machines: Vec<_> = (0..6)
+        .map(|index| cluster::machine(&format!("p{index}"), cluster::SPARE, ""))
+        .collect();
+    machines.push(cluster::machine("m-w1", cluster::POOL, "w1"));
+    machines.push(cluster::machine("m-w2", cluster::POOL, "w2"));
+    for index in 0..20 {
+        let mut row = job(&format!("j{index}"), vec![step(1)]);
+        row.accepted_ms = -20_000;
+        cluster.jobs.insert(row.id.to_string(), row);
+    }
+    cluster.succeed();
+    cluster.event(Event::Machines(machines));
+    cluster.pass(Duration::from_millis(300));
+    let moves = cluster.actions.iter();
+    let moves = moves.filter(|action| matches!(action, Action::Move { .. }));
+    assert_eq!(moves.count(), 0);
+}
--- /dev/null
+++ b/crates/wigeonhinge/tests/batch_pools.rs
@@ -0,0 +1,195 @@
+//! Machines of a `Batch`: pools that follow demand, waves, orders of two holders.
+
+#[path = "support/cluster.rs"]
+mod cluster;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cluster::Cluster;
+use cluster::POOL;
+use cluster::SPARE;
+use cluster::job;
+use cluster::machine;
+use cluster::step;
+use wigeonhinge::batch::Action;
+use wigeonhinge::batch::Event;
+use wigeonhinge::batch::Machine;
+use wigeonhinge::batch::Step;
+use wigeonhinge::batch::Wave;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn machines(workers: &[&str], parked: usize) -> Vec<Machine> {
+    let own = workers
+        .iter()
+        .map(|id| machine(&format!("m-{id}"), POOL, id));
+    let spare = (0..parked).map(|index| machine(&format!("p{index}"), SPARE, ""));
+    own.chain(spare).collect()
+}
+
+fn moves(cluster: &Cluster, target: &str) -> usize {
+    let is = |action: &&Action| matches!(action, Action::Move { pool, .. } if pool == target);
+    cluster.actions.iter().filter(is).count()
+}
+
+fn maintained(cluster: &Cluster) -> Vec<String> {
+    let orders = cluster.actions.iter().filter_map(|action| match action {
+        Action::Maintain { machine, .. } => Some(machine.to_string()),
+        _ => None,
+    });
+    orders.collect()
+}
+
+fn wave(machines: &[&str], limit: usize, secs: u64) -> Wave {
+    Wave {
+        number: 1,
+        machines: machines.iter().map(|id| (*id).into()).collect(),
+        remaining: Duration::from_secs(secs),
+        limit,
+        ..Wave::default()
+    }
+}
+
+/// Parked machines come to a pool whose tasks wait, as many as they need.
+#[test]
+fn flood_brings_machines() {
+    let mut cluster = Cluster::open(&["w1"]);
+    cluster.event(Event::Machines(machines(&["w1"], 8)));
+    cluster.submit(job("j", vec![step(60)]));
+    cluster.pass(Duration::from_millis(200));
+    assert!((3..=5).contains(&moves(&cluster, POOL)));
+}
+
+/// Idle machines are not parked before any work was seen.
+#[test]
+fn idle_before_work() {
+    let workers = ["w1", "w2", "w3"];
+    let mut cluster = Cluster::open(&workers);
+    cluster.event(Event::Machines(machines(&workers, 0)));
+    cluster.pass(5 * SECOND);
+    assert_eq!(moves(&cluster, SPARE), 0);
+}
+
+/// Idle machines are parked after a lull, and one stays.
+#[test]
+fn idle_after_work() {
+    let workers = ["w1", "w2", "w3"];
+    let mut cluster = Cluster::open(&workers);
+    cluster.event(Event::Machines(machines(&workers, 0)));
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    cluster.end("j.0.0.0", wigeonhinge::batch::End::Done);
+    cluster.pass(8 * SECOND);
+    let parked: BTreeSet<String> = cluster
+        .actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Move { machine, .. } => Some(machine.to_string()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(parked.len(), 2);
+}
+
+/// No more machines of a wave are ordered at a time than its limit allows.
+#[test]
+fn wave_limit() {
+    let workers = ["w1", "w2", "w3", "w4"];
+    let mut cluster = Cluster::open(&workers);
+    cluster.event(Event::Machines(machines(&workers, 0)));
+    let all = ["m-w1", "m-w2", "m-w3", "m-w4"];
+    cluster.event(Event::Wave(wave(&all, 2, 20)));
+    cluster.pass(SECOND);
+    assert_eq!(maintained(&cluster).len(), 2);
+}
+
+/// A lasting task leaves a machine only while its step may miss one more.
+#[test]
+fn wave_absences() {
+    let lasting = Step {
+        lasting: true,
+        spread: 1,
+        may_miss: Some(1),
+        ..step(2)
+    };
+    let workers = ["w1", "w2", "w3"];
+    let mut cluster = Cluster::open(&workers);
+    cluster.submit(job("j", vec![lasting]));
+    cluster.store();
+    for node in cluster.nodes.values_mut() {
+        node.runs.values_mut().for_each(|work| work.percent = 100);
+    }
+    cluster.look();
+    cluster.event(Event::Machines(machines(&workers, 0)));
+    cluster.event(Event::Wave(wave(&["m-w1", "m-w2", "m-w3"], 3, 3)));
+    cluster.pass(Duration::from_millis(300));
+    let stops = cluster.actions.iter();
+    let stops = stops.filter(|action| matches!(action, Action::Stop { .. }));
+    assert!(stops.count() <= 1);
+}
+
+/// A machine with a run is not taken down while there is time.
+#[test]
+fn wave_waits_for_runs() {
+    let workers = ["w1", "w2"];
+    let mut cluster = Cluster::open(&workers);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    let holder = cluster.holder("j.0.0.0").expect("a run");
+    let name = format!("m-{holder}");
+    cluster.event(Event::Machines(machines(&workers, 0)));
+    cluster.event(Event::Wave(wave(&[&name], 1, 30)));
+    cluster.pass(SECOND);
+    assert!(maintained(&cluster).is_empty());
+    cluster.end("j.0.0.0", wigeonhinge::batch::End::Done);
+    cluster.pass(SECOND);
+    assert_eq!(maintained(&cluster), [name]);
+}
+
+/// A machine that a predecessor ordered lately gets no order; others do at once.
+#[test]
+fn takeover_keeps_away() {
+    let mut cluster = Cluster::open(&["w1"]);
+    cluster.batch.bar_machine("p0".into(), cluster.now);
+    cluster.event(Event::Machines(machines(&["w1"], 2)));
+    cluster.submit(job("j", vec![step(60)]));
+    cluster.pass(3 * SECOND);
+    let ordered = |id: &str| {
+        let is = |action: &Action| matches!(action, Action::Move { machine, .. } if machine == id);
+        cluster.actions.iter().any(is)
+    };
+    assert!(ordered("p1"));
+    assert!(!ordered("p0"));
+}
+
+/// Filling tasks give way when a task that serves beside them nears its goal.
+#[test]
+fn pace_near_goal() {
+    let serving = Step {
+        lasting: true,
+        goal_ms: 100,
+        ..step(1)
+    };
+    let filling = Step {
+        fills: true,
+        ..step(1)
+    };
+    let mut cluster = Cluster::open(&["w1"]);
+    cluster.submit(job("s", vec![serving]));
+    cluster.submit(job("f", vec![filling]));
+    cluster.store();
+    let node = cluster.nodes.get_mut("w1").expect("a worker");
+    let id = cluster::task("s.0.0.0");
+    node.runs.get_mut(&id).expect("a run").figure = 95.0;
+    cluster.pass(Duration::from_millis(300));
+    let paces: Vec<u32> = cluster
+        .actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Pace { percent, .. } => Some(*percent),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(paces.first(), Some(&50));
+}
