--- a/crates/wigeonhinge/src/batch/job.rs
+++ b/crates/wigeonhinge/src/batch/job.rs
@@ -379,7 +379,9 @@
         }
         self.reservations.retain(|task, _| task.job != *id);
         let age = self.wall_ms(now) - job.row.accepted_ms;
-        self.note(format!("jobs: job {id} ended as {phase:?}, {age} ms after it was accepted"));
+        self.note(format!(
+            "jobs: job {id} ended as {phase:?}, {age} ms after it was accepted"
+        ));
         for (task, state) in job.tasks() {
             if let Some(worker) = state.worker() {
                 self.stop(&worker.clone(), &task);
