Let the lists decide on a stopped run; give up starts without an answer

Ruled out: room (the pool was half empty), spread, the store.

Change: an answered stop is repeated only if its run is still listed after two looks; a start whose order or answer went astray is stopped after 2 s. Both tests failed first.

--- a/crates/wigeonhinge/src/batch/worker.rs
+++ b/crates/wigeonhinge/src/batch/worker.rs
@@ -27,6 +27,13 @@
 /// Time after which an unanswered stop is sent again.
 const STOP_RETRY: Duration = Duration::from_millis(500);
 
+/// Time after which an answered stop is sent again if its run is still listed;
+/// two looks of 0.7 s fit into it.
+const STOP_LISTED: Duration = Duration::from_millis(2_500);
+
+/// Time for an answer to a start, with those that wait for the same worker before it.
+const START_ANSWER: Duration = Duration::from_secs(2);
+
 /// Pause before a worker that refused a start is asked again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(200);
 
@@ -389,6 +396,7 @@
     pub(super) fn lapse(&mut self, now: Time) {
         let mut lost = Vec::new();
         let mut stops = Vec::new();
+        let mut stuck = Vec::new();
         for (id, worker) in &mut self.workers {
             if now >= worker.lapse && !worker.runs.is_empty() {
                 worker.listed = false;
@@ -398,11 +406,20 @@
                 continue;
             }
             for (task, run) in &mut worker.runs {
+                let waits = run.stage == Stage::Starting && worker.listed;
+                if waits && now.saturating_sub(run.since) > START_ANSWER {
+                    stuck.push((id.clone(), task.clone()));
+                    continue;
+                }
                 let Stage::Stopping(asked, answered) = &mut run.stage else {
                     continue;
                 };
-                let since = answered.unwrap_or(*asked);
-                if now.saturating_sub(since) > STOP_RETRY && worker.listed {
+                let over = match answered {
+                    // The lists of a look that was sent after the answer decide.
+                    Some(time) => now.saturating_sub(*time) > STOP_LISTED,
+                    None => now.saturating_sub(*asked) > STOP_RETRY,
+                };
+                if over && worker.listed {
                     *asked = now;
                     *answered = None;
                     stops.push((id.clone(), task.clone(), run.run));
@@ -418,6 +435,12 @@
             ));
             self.lost(&worker, &task, run, now);
         }
+        for (worker, task) in stuck {
+            self.note(format!(
+                "jobs: start of {task} on worker {worker} has no answer"
+            ));
+            self.stop(&worker, &task);
+        }
         for (worker, task, run) in stops {
             self.actions.push(Action::Stop { worker, task, run });
         }
--- a/crates/wigeonhinge/tests/batch.rs
+++ b/crates/wigeonhinge/tests/batch.rs
@@ -344,3 +344,49 @@
     let moves = moves.filter(|action| matches!(action, Action::Move { .. }));
     assert_eq!(moves.count(), 0);
 }
+
+/// A look takes up to 0.7 s; an answered stop must not be repeated before its lists arrive,
+/// since the run then never counts as gone.
+#[test]
+fn stopped_start_with_slow_looks() {
+    let mut cluster = Cluster::open(&["w1"]);
+    cluster.prompt = false;
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    let id = task("j.0.0.0");
+    cluster.event(Event::Started("w1".into(), id.clone(), 1, Reply::Unknown));
+    cluster.event(Event::Stopped("w1".into(), id.clone(), 1, true));
+    let answered = cluster.now;
+    for _ in 0..7 {
+        cluster.now += Duration::from_millis(100);
+        let stops = cluster.actions.len();
+        cluster.event(Event::Tick);
+        if cluster.actions[stops..]
+            .iter()
+            .any(|action| matches!(action, Action::Stop { .. }))
+        {
+            cluster.event(Event::Stopped("w1".into(), id.clone(), 1, true));
+        }
+    }
+    let report = wigeonhinge::batch::Report {
+        born: 1,
+        asked: answered + Duration::from_millis(20),
+        ..Default::default()
+    };
+    cluster.event(Event::Report("w1".into(), report));
+    cluster.store();
+    assert_eq!(cluster.starts().last(), Some(&("j.0.0.0".to_owned(), 2)));
+}
+
+/// A start whose order or answer went astray is given up by a stop, not waited for.
+#[test]
+fn start_without_answer() {
+    let mut cluster = Cluster::open(&["w1", "w2"]);
+    cluster.pass(SECOND);
+    cluster.prompt = false;
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store();
+    cluster.prompt = true;
+    cluster.pass(4 * SECOND);
+    assert_eq!(cluster.starts().last(), Some(&("j.0.0.0".to_owned(), 2)));
+}
