Give a machine's next order only after the answer to the last one

With 60 orders in a row an order's answer took longer than the 0.6 s for which its worker was kept free and the 1.2 s after which the order was repeated: new tasks started on the worker, the order ended them, and an end that was listed just before was taken for a loss.

Ruled out: a takeover (one term), a lease that ended, a lost answer of the store.

Change: an order stays pending until it is answered, and its worker gets no task meanwhile.

--- a/crates/wigeonhinge/src/batch/pools.rs
+++ b/crates/wigeonhinge/src/batch/pools.rs
@@ -11,8 +11,8 @@
 use crate::id::VmId;
 use crate::id::ZoneId;
 
-/// Time in which an answer to a machine order is waited for before it is repeated.
-const ORDER_RETRY: Duration = Duration::from_millis(1_200);
+/// Pause before a machine whose order was refused, or has no answer, is ordered again.
+const ORDER_RETRY: Duration = Duration::from_millis(500);
 
 /// Time beyond a move or maintenance until the machine counts as back.
 const RETURN_SLACK: Duration = Duration::from_millis(300);
@@ -73,8 +73,7 @@
 impl Held {
     /// Returns whether an order is under way.
     pub(super) fn busy(&self, now: Time) -> bool {
-        let pending = |(_, sent): &(Order, Time)| now.saturating_sub(*sent) < ORDER_RETRY;
-        now < self.back || self.order.as_ref().is_some_and(pending)
+        now < self.back || self.order.is_some()
     }
 
     /// Returns whether it works and nothing is decided for it.
@@ -139,8 +138,11 @@
         for worker in ended {
             self.life_ended(&worker, now);
         }
-        for worker in self.workers.values_mut() {
-            if worker.held && now.saturating_sub(worker.held_at) > HOLD {
+        // A worker whose machine is being ordered gets no work, however long that takes.
+        let ordered = self.machines.values().filter(|held| held.order.is_some());
+        let ordered: BTreeSet<WorkerId> = ordered.map(|it| it.machine.worker.clone()).collect();
+        for (id, worker) in &mut self.workers {
+            if worker.held && !ordered.contains(id) && now.saturating_sub(worker.held_at) > HOLD {
                 worker.held = false;
                 self.stale.insert(worker.entry.pool.clone());
             }
@@ -173,7 +175,9 @@
             return;
         };
         if !done {
-            // The same order is repeated once its time is over; it is idempotent.
+            // If it is still wanted it is given again; orders are idempotent.
+            held.order = None;
+            held.back = now + ORDER_RETRY;
             return;
         }
         let Some((order, _)) = held.order.take() else {
--- a/crates/wigeonhinge/tests/batch_pools.rs
+++ b/crates/wigeonhinge/tests/batch_pools.rs
@@ -193,3 +193,21 @@
         .collect();
     assert_eq!(paces.first(), Some(&50));
 }
+
+/// A machine whose order has no answer yet gets no task, since the order would end it.
+#[test]
+fn ordered_machine_gets_no_task() {
+    let workers = ["w1"];
+    let mut cluster = Cluster::open(&workers);
+    cluster.event(Event::Machines(machines(&workers, 0)));
+    cluster.event(Event::Wave(wave(&["m-w1"], 1, 20)));
+    cluster.pass(Duration::from_millis(200));
+    assert_eq!(maintained(&cluster).len(), 1);
+    cluster.submit(job("j", vec![step(1)]));
+    for _ in 0..20 {
+        cluster.pass(Duration::from_millis(100));
+        cluster.event(Event::Machines(machines(&workers, 0)));
+    }
+    assert!(cluster.starts().is_empty());
+    assert_eq!(maintained(&cluster).len(), 1);
+}
