--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -1,17 +1,18 @@
 //! The holder of the scheduler role: feeds [`Batch`] and carries out its actions.
 
+mod registry;
+mod restore;
+mod status;
+mod waves;
+
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use compio::runtime::JoinHandle;
 use flume::Receiver;
 use flume::Sender;
-use futures_util::future;
-use serde::Deserialize;
-use serde::Serialize;
 use slog::debug;
 use slog::info;
 use slog::warn;
@@ -21,16 +22,11 @@
 use wigeonhinge::batch::Batch;
 use wigeonhinge::batch::Event;
 use wigeonhinge::batch::JobRow;
-use wigeonhinge::batch::ProgressRow;
-use wigeonhinge::batch::Reply;
-use wigeonhinge::batch::Wave;
 use wigeonhinge::batch::WorkerEntry;
 use wigeonhinge::batch::WorkerId;
 use wigeonhinge::id::VmId;
 use wigeonhinge_platform::machines;
-use wigeonhinge_platform::records;
 use wigeonhinge_platform::store::Change;
-use wigeonhinge_platform::store::Error;
 use wigeonhinge_platform::store::Item;
 use wigeonhinge_platform::store::Revision;
 
@@ -42,9 +38,9 @@
 use crate::site::lookout;
 use crate::site::lookout::Handle;
 use crate::site::orders;
+use crate::site::role::restore::Stored;
+use crate::site::role::waves::WaveRow;
 use crate::site::watcher::CALL;
-use crate::site::watcher::Seen;
-use crate::site::watcher::Watch;
 use crate::site::writer;
 use crate::site::writer::Brought;
 use crate::site::writer::Extra;
@@ -89,14 +85,6 @@
     Lost(String),
 }
 
-/// What was done for a wave, as it is stored.
-#[derive(Debug, Default, Deserialize, Serialize)]
-struct WaveRow {
-    due_ms: i64,
-    done: Vec<VmId>,
-    completed: bool,
-}
-
 struct Role {
     shared: Rc<Shared>,
     term: Term,
@@ -122,16 +110,6 @@
     _tasks: Vec<JoinHandle<()>>,
 }
 
-/// What the store holds at the start of a term.
-struct Stored {
-    inputs: (Vec<Item>, Revision),
-    progress: Vec<Item>,
-    workers: (Vec<Item>, Revision),
-    waves: Vec<Item>,
-    done: Vec<Item>,
-    orders: Option<Item>,
-}
-
 /// Fills the role until it is lost or given up; returns the reason.
 pub(super) async fn run(shared: &Rc<Shared>, term: Term, resigned: &Receiver<()>) -> String {
     let began = clock::now();
@@ -139,7 +117,7 @@
     let renewal = election::renew(Rc::clone(shared), term.clone(), inbox.clone());
     let renewal = compio::runtime::spawn(renewal);
     let stored = loop {
-        match load(shared).await {
+        match restore::load(shared).await {
             Ok(stored) => break stored,
             Err(error) => {
                 warn!(shared.log, "role: cannot read the jobs"; "error" => %error);
@@ -169,26 +147,6 @@
     reason
 }
 
-async fn load(shared: &Shared) -> Result<Stored, Error> {
-    let store = &shared.store;
-    let (inputs, progress, workers, waves, done) = future::join5(
-        store.range(keys::INPUT, CALL),
-        store.range(keys::PROGRESS, CALL),
-        store.range(records::WORKERS, CALL),
-        store.range(records::WAVES, CALL),
-        store.range(keys::WAVES, CALL),
-    )
-    .await;
-    Ok(Stored {
-        inputs: inputs?,
-        progress: progress?.0,
-        workers: workers?,
-        waves: waves?.0,
-        done: done?.0,
-        orders: store.get(keys::ORDERS, CALL).await?,
-    })
-}
-
 impl Role {
     fn open(shared: &Rc<Shared>, term: Term, stored: Stored, inbox: Sender<Message>) -> Self {
         let now = clock::now();
@@ -198,7 +156,7 @@
         let catalog = catalog.map(|it| (*it).clone()).unwrap_or_default();
         let version = catalog.version;
         let (machine_orders, queue) = flume::unbounded();
-        let mut tasks = watches(shared, &stored, &inbox);
+        let mut tasks = restore::watches(shared, &stored, &inbox);
         if let Some(address) = shared.settings.machines {
             let holder = shared.settings.entry.to_string();
             let log = shared.log.clone();
@@ -240,71 +198,6 @@
         role
     }
 
-    /// Takes over what the store holds.
-    fn restore(&mut self, stored: Stored, now: Time) {
-        self.all_workers(stored.workers.0);
-        let mut progress = BTreeMap::new();
-        for item in stored.progress {
-            match serde_json::from_slice::<ProgressRow>(&item.value) {
-                Ok(row) => {
-                    progress.insert(item.key, row);
-                }
-                Err(error) => self.unreadable(&item.key, &error.to_string()),
-            }
-        }
-        for (key, row) in &progress {
-            if let (true, Some(id)) = (row.phase.terminal(), key.strip_prefix(keys::PROGRESS)) {
-                self.batch.restore_ended(id.into(), now);
-            }
-        }
-        let mut cancels = Vec::new();
-        let mut count = 0;
-        for item in stored.inputs.0 {
-            if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
-                cancels.push(CompactString::from(id));
-                continue;
-            }
-            match serde_json::from_slice::<JobRow>(&item.value) {
-                Ok(row) => {
-                    let done = progress.remove(&keys::progress(&row.id));
-                    self.batch.restore(row, done, now);
-                    count += 1;
-                }
-                Err(error) => self.unreadable(&item.key, &error.to_string()),
-            }
-        }
-        info!(self.shared.log, "role: jobs taken over"; "jobs" => count,
-            "cancelled" => cancels.len(), "workers" => self.registry.len());
-        for job in cancels {
-            self.handle(Event::Cancel(job));
-        }
-        for item in stored.done {
-            let number = item.key.strip_prefix(keys::WAVES);
-            let number = number.and_then(|it| it.parse().ok());
-            if let (Some(number), Ok(row)) = (number, serde_json::from_slice(&item.value)) {
-                self.waves.insert(number, row);
-            }
-        }
-        self.all_waves(stored.waves);
-        self.bar_machines(stored.orders, now);
-    }
-
-    /// Keeps away from the machines that a predecessor may still order.
-    fn bar_machines(&mut self, row: Option<Item>, now: Time) {
-        let Some(row) = row else {
-            return;
-        };
-        match serde_json::from_slice::<BTreeMap<VmId, i64>>(&row.value) {
-            Ok(ordered) => {
-                let wall = clock::wall_ms();
-                for (machine, _) in ordered.into_iter().filter(|it| wall - it.1 < RECENT_MS) {
-                    self.batch.bar_machine(machine, now);
-                }
-            }
-            Err(error) => self.unreadable(keys::ORDERS, &error.to_string()),
-        }
-    }
-
     async fn work(&mut self, messages: &Receiver<Message>, resigned: &Receiver<()>) -> String {
         let mut next = clock::now() + TICK;
         loop {
@@ -427,47 +320,6 @@
         }
     }
 
-    /// Counts what workers and machines answered.
-    fn count(&self, event: &Event) {
-        let metrics = &self.shared.metrics;
-        match event {
-            Event::Report(_, report) => {
-                metrics.count("worker.look");
-                metrics.add("worker.end", report.finished.len());
-            }
-            Event::Started(_, _, _, reply) => metrics.count(match reply {
-                Reply::Started => "start.done",
-                Reply::NoRoom => "start.no_room",
-                Reply::Refused => "start.refused",
-                Reply::Unhealthy => "start.unhealthy",
-                Reply::Unknown => "start.unknown",
-            }),
-            Event::Stopped(..) => metrics.count("stop"),
-            Event::Ordered(_, true) => metrics.count("machine.ordered"),
-            Event::Ordered(_, false) => metrics.count("machine.refused"),
-            _ => {}
-        }
-    }
-
-    /// Publishes the state of pools and waves for operators.
-    fn publish(&self) {
-        let pools = self.batch.summary();
-        let waiting = pools.values().map(|(.., waiting)| *waiting as u64).sum();
-        self.shared.metrics.gauge("tasks.waiting", waiting);
-        let pools = pools.into_iter().map(|(pool, (workers, runs, waiting))| {
-            let row = serde_json::json!({ "workers": workers, "runs": runs, "waiting": waiting });
-            (pool.to_string(), row)
-        });
-        let pools: serde_json::Map<String, serde_json::Value> = pools.collect();
-        let waves = serde_json::to_value(&self.waves).unwrap_or_default();
-        *self.shared.status.borrow_mut() = serde_json::json!({
-            "role": true,
-            "fence": self.term.fence,
-            "pools": pools,
-            "waves": waves,
-        });
-    }
-
     fn handle(&mut self, event: Event) {
         self.count(&event);
         let actions = self.batch.handle(event, clock::now());
@@ -567,133 +419,6 @@
         compio::runtime::spawn(write).detach();
     }
 
-    fn all_workers(&mut self, items: Vec<Item>) {
-        self.registry.clear();
-        for item in items {
-            self.worker(item);
-        }
-        self.register();
-    }
-
-    fn some_workers(&mut self, changes: Vec<Change>) {
-        for change in changes {
-            match change {
-                Change::Set(item) => self.worker(item),
-                Change::Removed { key, .. } => {
-                    info!(self.shared.log, "registry: worker left"; "key" => &key);
-                    self.registry.remove(&key);
-                }
-            }
-        }
-        self.register();
-    }
-
-    fn worker(&mut self, item: Item) {
-        match records::worker(&item.key, &item.value) {
-            Ok(entry) => {
-                let known = self.registry.get(&item.key);
-                if known.is_none_or(|it| it.draining != entry.draining) {
-                    info!(self.shared.log, "registry: worker"; "worker" => %entry.id,
-                        "pool" => %entry.pool, "draining" => entry.draining,
-                        "machine" => %entry.machine);
-                }
-                self.registry.insert(item.key, entry);
-            }
-            Err(reason) => {
-                self.registry.remove(&item.key);
-                self.unreadable(&item.key, &reason);
-            }
-        }
-    }
-
-    fn register(&mut self) {
-        let entries: Vec<WorkerEntry> = self.registry.values().cloned().collect();
-        self.handle(Event::Workers(entries.clone()));
-        for entry in &entries {
-            if !self.batch.expects(&entry.id) {
-                continue;
-            }
-            let address = entry.address.parse().ok();
-            let known = self.workers.get(&entry.id).map(|it| it.address);
-            if known.is_some() && known == address {
-                continue;
-            }
-            let extend = Rc::clone(&self.extend);
-            let log = self.shared.log.clone();
-            let tell = (log, self.inbox.clone());
-            match lookout::spawn(entry, self.term.fence, extend, tell) {
-                Some(handle) => {
-                    self.workers.insert(entry.id.clone(), handle);
-                }
-                None => self.unreadable(&entry.id, "the address is no IP:port"),
-            }
-        }
-        self.drop_handles();
-    }
-
-    /// Ends the connections to workers that cannot answer any more.
-    fn drop_handles(&mut self) {
-        let batch = &self.batch;
-        self.workers.retain(|id, _| batch.expects(id));
-    }
-
-    fn all_waves(&mut self, items: Vec<Item>) {
-        for item in items {
-            let wave = match records::wave(&item.value) {
-                Ok(wave) => wave,
-                Err(reason) => {
-                    self.unreadable(&item.key, &reason);
-                    continue;
-                }
-            };
-            self.wave(wave);
-        }
-    }
-
-    fn wave(&mut self, mut wave: Wave) {
-        let wall = clock::wall_ms();
-        let number = wave.number;
-        match self.waves.get(&number) {
-            Some(row) => {
-                let left = u64::try_from(row.due_ms - wall).unwrap_or(0);
-                wave.remaining = Duration::from_millis(left);
-                wave.done = row.done.iter().cloned().collect();
-                wave.completed = row.completed;
-            }
-            None => {
-                let due_ms = wall + wave.remaining.as_millis() as i64;
-                let row = WaveRow {
-                    due_ms,
-                    ..WaveRow::default()
-                };
-                self.waves.insert(number, row);
-                info!(self.shared.log, "waves: asked for"; "wave" => number,
-                    "machines" => wave.machines.len(), "limit" => wave.limit,
-                    "secs" => wave.remaining.as_secs());
-            }
-        }
-        self.handle(Event::Wave(wave));
-        self.store_wave(number, false);
-    }
-
-    fn store_wave(&mut self, number: u64, completed: bool) {
-        let done = self.batch.wave_progress(number);
-        let Some(row) = self.waves.get_mut(&number) else {
-            return;
-        };
-        row.completed |= completed;
-        row.done = done.into_iter().collect();
-        let state = records::wave_state(number, row.completed);
-        if completed {
-            info!(self.shared.log, "waves: completed"; "wave" => number);
-        }
-        match serde_json::to_vec(row) {
-            Ok(value) => self.extra(keys::wave(number), value),
-            Err(error) => warn!(self.shared.log, "waves: row"; "error" => %error),
-        }
-        self.extra(records::wave_state_key(number), state);
-    }
-
     fn extra(&mut self, key: String, value: Vec<u8>) {
         self.extras.retain(|(name, _)| *name != key);
         self.extras.push((key, value));
@@ -716,41 +441,3 @@
         notice: millis(bounds.notice_ms),
     }
 }
-
-/// Starts the watches on jobs, workers and waves.
-fn watches(shared: &Rc<Shared>, stored: &Stored, inbox: &Sender<Message>) -> Vec<JoinHandle<()>> {
-    let inputs = Watch::open(shared, keys::INPUT).after(stored.inputs.1);
-    let workers = Watch::open(shared, records::WORKERS).after(stored.workers.1);
-    let waves = Watch::open(shared, records::WAVES);
-    let follow = |mut watch: Watch, wrap: fn(Seen) -> Message| {
-        let inbox = inbox.clone();
-        compio::runtime::spawn(async move {
-            loop {
-                let seen = watch.next().await;
-                if inbox.send(wrap(seen)).is_err() {
-                    return;
-                }
-            }
-        })
-    };
-    vec![
-        follow(inputs, |seen| match seen {
-            Seen::All(items) => Message::Inputs(items),
-            Seen::Changes(changes) => Message::Input(changes),
-        }),
-        follow(workers, |seen| match seen {
-            Seen::All(items) => Message::Workers(items),
-            Seen::Changes(changes) => Message::Registry(changes),
-        }),
-        follow(waves, |seen| match seen {
-            Seen::All(items) => Message::Waves(items),
-            Seen::Changes(changes) => {
-                let items = changes.into_iter().filter_map(|change| match change {
-                    Change::Set(item) => Some(item),
-                    Change::Removed { .. } => None,
-                });
-                Message::Waves(items.collect())
-            }
-        }),
-    ]
-}
--- /dev/null
+++ b/crates/daemon/src/site/role/restore.rs
@@ -0,0 +1,169 @@
+//! The start of a term: what the store holds, and the watches that go on from there.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use compio::runtime::JoinHandle;
+use flume::Sender;
+use futures_util::future;
+use slog::info;
+use wigeonhinge::Time;
+use wigeonhinge::batch::Event;
+use wigeonhinge::batch::JobRow;
+use wigeonhinge::batch::ProgressRow;
+use wigeonhinge::id::VmId;
+use wigeonhinge_platform::records;
+use wigeonhinge_platform::store::Change;
+use wigeonhinge_platform::store::Error;
+use wigeonhinge_platform::store::Item;
+use wigeonhinge_platform::store::Revision;
+
+use crate::site::Shared;
+use crate::site::clock;
+use crate::site::keys;
+use crate::site::role::Message;
+use crate::site::role::RECENT_MS;
+use crate::site::role::Role;
+use crate::site::watcher::CALL;
+use crate::site::watcher::Seen;
+use crate::site::watcher::Watch;
+
+/// What the store holds at the start of a term.
+pub(super) struct Stored {
+    pub(super) inputs: (Vec<Item>, Revision),
+    pub(super) progress: Vec<Item>,
+    pub(super) workers: (Vec<Item>, Revision),
+    pub(super) waves: Vec<Item>,
+    pub(super) done: Vec<Item>,
+    pub(super) orders: Option<Item>,
+}
+
+pub(super) async fn load(shared: &Shared) -> Result<Stored, Error> {
+    let store = &shared.store;
+    let (inputs, progress, workers, waves, done) = future::join5(
+        store.range(keys::INPUT, CALL),
+        store.range(keys::PROGRESS, CALL),
+        store.range(records::WORKERS, CALL),
+        store.range(records::WAVES, CALL),
+        store.range(keys::WAVES, CALL),
+    )
+    .await;
+    Ok(Stored {
+        inputs: inputs?,
+        progress: progress?.0,
+        workers: workers?,
+        waves: waves?.0,
+        done: done?.0,
+        orders: store.get(keys::ORDERS, CALL).await?,
+    })
+}
+
+impl Role {
+    /// Takes over what the store holds.
+    pub(super) fn restore(&mut self, stored: Stored, now: Time) {
+        self.all_workers(stored.workers.0);
+        let mut progress = BTreeMap::new();
+        for item in stored.progress {
+            match serde_json::from_slice::<ProgressRow>(&item.value) {
+                Ok(row) => {
+                    progress.insert(item.key, row);
+                }
+                Err(error) => self.unreadable(&item.key, &error.to_string()),
+            }
+        }
+        for (key, row) in &progress {
+            if let (true, Some(id)) = (row.phase.terminal(), key.strip_prefix(keys::PROGRESS)) {
+                self.batch.restore_ended(id.into(), now);
+            }
+        }
+        let mut cancels = Vec::new();
+        let mut count = 0;
+        for item in stored.inputs.0 {
+            if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
+                cancels.push(CompactString::from(id));
+                continue;
+            }
+            match serde_json::from_slice::<JobRow>(&item.value) {
+                Ok(row) => {
+                    let done = progress.remove(&keys::progress(&row.id));
+                    self.batch.restore(row, done, now);
+                    count += 1;
+                }
+                Err(error) => self.unreadable(&item.key, &error.to_string()),
+            }
+        }
+        info!(self.shared.log, "role: jobs taken over"; "jobs" => count,
+            "cancelled" => cancels.len(), "workers" => self.registry.len());
+        for job in cancels {
+            self.handle(Event::Cancel(job));
+        }
+        for item in stored.done {
+            let number = item.key.strip_prefix(keys::WAVES);
+            let number = number.and_then(|it| it.parse().ok());
+            if let (Some(number), Ok(row)) = (number, serde_json::from_slice(&item.value)) {
+                self.waves.insert(number, row);
+            }
+        }
+        self.all_waves(stored.waves);
+        self.bar_machines(stored.orders, now);
+    }
+
+    /// Keeps away from the machines that a predecessor may still order.
+    pub(super) fn bar_machines(&mut self, row: Option<Item>, now: Time) {
+        let Some(row) = row else {
+            return;
+        };
+        match serde_json::from_slice::<BTreeMap<VmId, i64>>(&row.value) {
+            Ok(ordered) => {
+                let wall = clock::wall_ms();
+                for (machine, _) in ordered.into_iter().filter(|it| wall - it.1 < RECENT_MS) {
+                    self.batch.bar_machine(machine, now);
+                }
+            }
+            Err(error) => self.unreadable(keys::ORDERS, &error.to_string()),
+        }
+    }
+}
+
+/// Starts the watches on jobs, workers and waves.
+pub(super) fn watches(
+    shared: &Rc<Shared>,
+    stored: &Stored,
+    inbox: &Sender<Message>,
+) -> Vec<JoinHandle<()>> {
+    let inputs = Watch::open(shared, keys::INPUT).after(stored.inputs.1);
+    let workers = Watch::open(shared, records::WORKERS).after(stored.workers.1);
+    let waves = Watch::open(shared, records::WAVES);
+    let follow = |mut watch: Watch, wrap: fn(Seen) -> Message| {
+        let inbox = inbox.clone();
+        compio::runtime::spawn(async move {
+            loop {
+                let seen = watch.next().await;
+                if inbox.send(wrap(seen)).is_err() {
+                    return;
+                }
+            }
+        })
+    };
+    vec![
+        follow(inputs, |seen| match seen {
+            Seen::All(items) => Message::Inputs(items),
+            Seen::Changes(changes) => Message::Input(changes),
+        }),
+        follow(workers, |seen| match seen {
+            Seen::All(items) => Message::Workers(items),
+            Seen::Changes(changes) => Message::Registry(changes),
+        }),
+        follow(waves, |seen| match seen {
+            Seen::All(items) => Message::Waves(items),
+            Seen::Changes(changes) => {
+                let items = changes.into_iter().filter_map(|change| match change {
+                    Change::Set(item) => Some(item),
+                    Change::Removed { .. } => None,
+                });
+                Message::Waves(items.collect())
+            }
+        }),
+    ]
+}
