Start no task that ended while it waited; renew no lease before doubtful starts are stopped

A zone cut held up the bytes of a start, the lease ended, the run was given up and its task waited for room. After the cut the worker got a new lease first and then the held start, carried it out, and its end as done was taken in, but the task's place in the list of ready tasks remained, so it started again. Ruled out: takeover (one holder throughout), acknowledgement before storage.

Change: a task that no longer waits is not placed; a worker whose lease ended gets no new one until each start without an answer was stopped, and starts that waited in the queue meanwhile are dropped.

--- a/crates/daemon/src/site/lookout.rs
+++ b/crates/daemon/src/site/lookout.rs
@@ -1,6 +1,7 @@
 //! Talks to one worker: one connection waits for its lists, one carries orders.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,8 +14,8 @@
 use slog::info;
 use slog::warn;
 use wigeonhinge::Time;
-use wigeonhinge::batch;
 use wigeonhinge::batch::Event;
+use wigeonhinge::batch::Grant;
 use wigeonhinge::batch::Reply;
 use wigeonhinge::batch::Run;
 use wigeonhinge::batch::TaskId;
@@ -60,7 +61,8 @@
 #[derive(Debug)]
 pub(super) struct Handle {
     pub(super) address: SocketAddr,
-    orders: Sender<Order>,
+    /// Orders, and when each was given.
+    orders: Sender<(Time, Order)>,
     lane: Rc<Lane>,
     _tasks: [JoinHandle<()>; 2],
 }
@@ -71,10 +73,7 @@
     authority: Authority,
     log: Logger,
     inbox: Sender<Message>,
-    /// Time on the worker's clock, and when it was read.
-    clock: Cell<Option<(u64, Time)>>,
-    /// End of the lease on the worker's clock.
-    until: Cell<u64>,
+    grant: RefCell<Grant>,
     /// Ends up to this number are stored.
     stored: Cell<u64>,
     changed: event_listener::Event,
@@ -100,8 +99,7 @@
         },
         log,
         inbox,
-        clock: Cell::new(None),
-        until: Cell::new(0),
+        grant: RefCell::new(Grant::default()),
         stored: Cell::new(0),
         changed: event_listener::Event::new(),
         extend,
@@ -122,7 +120,7 @@
 impl Handle {
     pub(super) fn order(&self, order: Order) {
         // The receiver lives as long as this handle.
-        let _ = self.orders.send(order);
+        let _ = self.orders.send((clock::now(), order));
     }
 
     /// Acknowledges ends up to a number with the next look.
@@ -147,14 +145,20 @@
     ///
     /// An unanswered look may have extended the lease, so a silent worker's is left to end.
     fn lease(&self) -> Option<u64> {
-        let (millis, read) = self.clock.get()?;
+        let mut grant = self.grant.borrow_mut();
         if self.extend.get() && !self.silent.get() {
-            self.tell(Event::Extended(self.authority.worker.clone()));
-            let elapsed = clock::now().saturating_sub(read) + batch::LEASE;
-            let until = millis + elapsed.as_millis() as u64;
-            self.until.set(self.until.get().max(until));
+            // The scheduler counts from when it hears of it, which is not before the lease begins.
+            let extended = grant.extend(clock::now());
+            if extended.is_some() {
+                self.tell(Event::Extended(self.authority.worker.clone()));
+                return extended;
+            }
         }
-        Some(self.until.get())
+        grant.until()
+    }
+
+    fn settled(&self, task: &TaskId, run: Run) {
+        self.grant.borrow_mut().settled(task, run);
     }
 }
 
@@ -172,10 +176,11 @@
             }
         }
         // A look with ends that are not stored yet is answered at once anyway.
-        let wait = match lane.stored.get() < seen || lane.clock.get().is_none() {
+        let wait = match lane.stored.get() < seen || lane.grant.borrow().until().is_none() {
             true => Duration::ZERO,
             false => WAIT,
         };
+        stop_doubtful(&lane, &mut link).await;
         let asked = clock::now();
         let until = lane.lease();
         let stored = lane.stored.get();
@@ -186,7 +191,9 @@
                     info!(lane.log, "worker: answers again"; "worker" => %lane.authority.worker);
                 }
                 pause = PAUSE.0;
-                lane.clock.set(Some((look.clock_ms, clock::now())));
+                let mut grant = lane.grant.borrow_mut();
+                grant.read_clock(look.clock_ms, clock::now());
+                drop(grant);
                 if let Some(last) = look.report.finished.iter().map(|end| end.number).max() {
                     seen = last;
                 }
@@ -207,13 +214,37 @@
     }
 }
 
+/// Stops the starts that could still be carried out under a new lease.
+async fn stop_doubtful(lane: &Lane, link: &mut Link) {
+    let doubtful = lane.grant.borrow().to_stop(clock::now());
+    for (task, run) in doubtful {
+        let stop = worker::stop(link, &lane.authority, (&task, run), CALL).await;
+        info!(lane.log, "worker: start without an answer stopped before a new lease";
+            "worker" => %lane.authority.worker, "task" => %task, "run" => run,
+            "answer" => ?stop);
+        match stop {
+            Ok(()) => lane.settled(&task, run),
+            Err(_) => return,
+        }
+    }
+}
+
 /// Carries orders to the worker, one after the other.
-async fn carry(lane: Rc<Lane>, address: SocketAddr, queue: Receiver<Order>) {
+async fn carry(lane: Rc<Lane>, address: SocketAddr, queue: Receiver<(Time, Order)>) {
     let mut link = Link::new(address);
     let id = lane.authority.worker.clone();
-    while let Ok(order) = queue.recv_async().await {
+    while let Ok((ordered, order)) = queue.recv_async().await {
         match order {
             Order::Start(task, run, spec, checkpoint) => {
+                let now = clock::now();
+                if !lane.grant.borrow().may_start(ordered, now) {
+                    info!(lane.log, "worker: start dropped, its lease has ended"; "worker" => %id,
+                        "task" => %task, "run" => run,
+                        "waited_ms" => now.saturating_sub(ordered).as_millis() as u64);
+                    lane.tell(Event::Started(id.clone(), task, run, Reply::Refused));
+                    continue;
+                }
+                lane.grant.borrow_mut().sent(&task, run);
                 let start = Start {
                     task: task.clone(),
                     run,
@@ -227,10 +258,16 @@
                     Err(Refusal::Fenced) => return lane.fenced(),
                     Err(_) => Reply::Unknown,
                 };
+                if reply != Reply::Unknown {
+                    lane.settled(&task, run);
+                }
                 lane.tell(Event::Started(id.clone(), task, run, reply));
             }
             Order::Stop(task, run) => {
                 let stop = worker::stop(&mut link, &lane.authority, (&task, run), CALL).await;
+                if stop.is_ok() {
+                    lane.settled(&task, run);
+                }
                 if let Err(refusal) = &stop {
                     warn!(lane.log, "worker: a stop has no answer"; "worker" => %id,
                         "task" => %task, "reason" => ?refusal);
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -11,6 +11,7 @@
 
 mod balance;
 mod demand;
+mod grant;
 mod job;
 mod pace;
 mod place;
@@ -40,6 +41,7 @@
 use crate::batch::upkeep::Upkeep;
 use crate::batch::worker::Worker;
 
+pub use crate::batch::grant::Grant;
 pub use crate::batch::pools::Machine;
 pub use crate::batch::pools::MachineState;
 pub use crate::batch::report::End;
--- a/crates/wigeonhinge/src/batch/place.rs
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -81,8 +81,12 @@
                 index: task.index + offset,
                 ..task.clone()
             };
-            let worker = self.choose(&member, &step, (&chosen, reserved), now);
             let state = self.jobs.get(&task.job).and_then(|job| job.task(&member));
+            if state.is_some_and(|state| !state.waiting()) {
+                // It ended while it waited, as a run that was given up did after all.
+                return true;
+            }
+            let worker = self.choose(&member, &step, (&chosen, reserved), now);
             let (Some(worker), Some(state)) = (worker, state) else {
                 return false;
             };
--- a/crates/wigeonhinge/tests/batch.rs
+++ b/crates/wigeonhinge/tests/batch.rs
@@ -390,3 +390,29 @@
     cluster.pass(4 * SECOND);
     assert_eq!(cluster.starts().last(), Some(&("j.0.0.0".to_owned(), 2)));
 }
+
+/// A run that was given up may still end as done; its task, which waits for room, must not start.
+#[test]
+fn done_while_waiting() {
+    let mut cluster = Cluster::open(&["w1", "w2"]);
+    cluster.submit(job("j", vec![step(2)]));
+    cluster.store();
+    cluster.pass(Duration::from_millis(100));
+    let holder = cluster.holder("j.0.0.0").expect("a run");
+    cluster.nodes.get_mut(&holder).expect("a worker").silent = true;
+    let others = cluster.entries.iter_mut().filter(|it| it.id != *holder);
+    others.for_each(|entry| entry.draining = true);
+    cluster.event(Event::Workers(cluster.entries.clone()));
+    cluster.pass(5 * SECOND);
+    assert_eq!(cluster.starts().len(), 2, "no worker has room");
+    cluster.end("j.0.0.0", End::Done);
+    cluster.nodes.get_mut(&holder).expect("a worker").silent = false;
+    cluster.look();
+    let entries = cluster.entries.iter_mut();
+    entries.for_each(|entry| entry.draining = false);
+    cluster.event(Event::Workers(cluster.entries.clone()));
+    cluster.pass(SECOND);
+    let starts = cluster.starts();
+    let again = starts.iter().filter(|(task, _)| task == "j.0.0.0");
+    assert_eq!(again.count(), 1);
+}
