Tell a successor how long ago each machine order was answered

Every machine ordered in the last 12 s was barred for the bound and 1.5 s, although nearly all orders had been answered. Ruled out: processor time (ticks at most 10 ms late), demand forecast (need was known, moves went on once the bar ended).

Change: the row has for each machine the time since its last order was answered; a successor waits for the rest of the platform's bound. Orders without an answer are barred as before. The row survives a second takeover.

--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -22,6 +22,7 @@
 use wigeonhinge::batch::Batch;
 use wigeonhinge::batch::Event;
 use wigeonhinge::batch::JobRow;
+use wigeonhinge::batch::OrderLog;
 use wigeonhinge::batch::WorkerEntry;
 use wigeonhinge::batch::WorkerId;
 use wigeonhinge::id::VmId;
@@ -64,10 +65,6 @@
 /// Time for which a holder may reach too few workers before it gives up the role.
 const ISOLATED: Duration = Duration::from_millis(1_500);
 
-/// Age in milliseconds up to which a recorded machine order counts; covers the
-/// platform's bound between two holders and clocks that differ by seconds.
-const RECENT_MS: i64 = 12_000;
-
 /// What the tasks of the role report.
 #[derive(Debug)]
 pub(super) enum Message {
@@ -99,8 +96,8 @@
     waves: BTreeMap<u64, WaveRow>,
     extras: Vec<Extra>,
     machine_orders: Sender<(VmId, machines::Order)>,
-    /// Machines that were ordered lately, by the time of day in milliseconds.
-    ordered: BTreeMap<VmId, i64>,
+    /// Machines that were ordered lately.
+    ordered: OrderLog,
     /// Orders whose record is not stored yet.
     unrecorded: Vec<(VmId, machines::Order)>,
     ticks: u64,
@@ -190,7 +187,7 @@
             waves: BTreeMap::new(),
             extras: Vec::new(),
             machine_orders,
-            ordered: BTreeMap::new(),
+            ordered: OrderLog::default(),
             unrecorded: Vec::new(),
             ticks: 0,
             load: Load::default(),
@@ -293,7 +290,8 @@
         if let Event::Machines(_) = event {
             self.handle(event);
             self.drop_handles();
-        } else if let Event::Ordered(_, true) = event {
+        } else if let Event::Ordered(machine, true) = &event {
+            self.ordered.answered(machine, clock::now());
             self.handle(event);
             let numbers: Vec<u64> = self.waves.keys().copied().collect();
             for number in numbers {
@@ -391,12 +389,11 @@
 
     /// Gives an order to a machine once the store holds that it is given.
     fn record_order(&mut self, machine: VmId, order: machines::Order) {
-        let wall = clock::wall_ms();
-        let recent = |time: &i64| wall - *time < RECENT_MS;
-        self.ordered.retain(|_, time| recent(time));
-        self.ordered.insert(machine.clone(), wall);
+        let now = clock::now();
+        self.ordered.record(machine.clone(), now);
         self.unrecorded.push((machine, order));
-        match serde_json::to_vec(&self.ordered) {
+        let row = self.ordered.row(bounds(&self.shared).order_lease, now);
+        match serde_json::to_vec(&row) {
             Ok(value) => self.extra(keys::ORDERS.to_owned(), value),
             Err(error) => warn!(self.shared.log, "machines: row"; "error" => %error),
         }
--- a/crates/daemon/src/site/role/restore.rs
+++ b/crates/daemon/src/site/role/restore.rs
@@ -11,9 +11,10 @@
 use wigeonhinge::Time;
 use wigeonhinge::batch::Event;
 use wigeonhinge::batch::JobRow;
+use wigeonhinge::batch::OrderLog;
+use wigeonhinge::batch::OrdersRow;
 use wigeonhinge::batch::ProgressRow;
 use wigeonhinge::batch::StateRow;
-use wigeonhinge::id::VmId;
 use wigeonhinge_platform::records;
 use wigeonhinge_platform::store::Change;
 use wigeonhinge_platform::store::Error;
@@ -21,10 +22,8 @@
 use wigeonhinge_platform::store::Revision;
 
 use crate::site::Shared;
-use crate::site::clock;
 use crate::site::keys;
 use crate::site::role::Message;
-use crate::site::role::RECENT_MS;
 use crate::site::role::Role;
 use crate::site::watcher::CALL;
 use crate::site::watcher::Seen;
@@ -125,12 +124,11 @@
         let Some(row) = row else {
             return;
         };
-        match serde_json::from_slice::<BTreeMap<VmId, i64>>(&row.value) {
-            Ok(ordered) => {
-                let wall = clock::wall_ms();
-                for (machine, _) in ordered.into_iter().filter(|it| wall - it.1 < RECENT_MS) {
-                    self.batch.bar_machine(machine, now);
-                }
+        match serde_json::from_slice::<OrdersRow>(&row.value) {
+            Ok(row) => {
+                self.batch.bar_machines(&row, now);
+                // A second takeover may follow before the bound is over.
+                self.ordered = OrderLog::restore(&row, now);
             }
             Err(error) => self.unreadable(keys::ORDERS, &error.to_string()),
         }
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -12,6 +12,7 @@
 mod balance;
 mod demand;
 mod grant;
+mod handover;
 mod job;
 mod pace;
 mod place;
@@ -43,6 +44,8 @@
 use crate::batch::worker::Worker;
 
 pub use crate::batch::grant::Grant;
+pub use crate::batch::handover::OrderLog;
+pub use crate::batch::handover::OrdersRow;
 pub use crate::batch::pools::Machine;
 pub use crate::batch::pools::MachineState;
 pub use crate::batch::report::End;
--- a/crates/wigeonhinge/src/batch/pools.rs
+++ b/crates/wigeonhinge/src/batch/pools.rs
@@ -5,6 +5,7 @@
 
 use crate::batch::Action;
 use crate::batch::Batch;
+use crate::batch::OrdersRow;
 use crate::batch::WorkerId;
 use crate::id::PoolId;
 use crate::id::Time;
@@ -20,7 +21,11 @@
 /// Time for which a worker stays reserved for an order that no one asks for any more.
 const HOLD: Duration = Duration::from_millis(600);
 
-/// Time added to the platform's bound between orders of two holders.
+/// Time added to the platform's bound after a predecessor's last order was answered; covers
+/// the way of the answer.
+const TURN_SLACK: Duration = Duration::from_millis(200);
+
+/// Time for which a predecessor may still give an order that it recorded.
 const HANDOVER: Duration = Duration::from_millis(1_500);
 
 /// State of a machine.
@@ -91,13 +96,22 @@
 }
 
 impl Batch {
-    /// Keeps a machine from orders that could take turns with a predecessor's.
+    /// Keeps machines from orders that could take turns with a predecessor's.
     ///
     /// A predecessor records its orders before it gives them, so the machines
-    /// that it recorded lately are the only ones that it may still order.
-    pub fn bar_machine(&mut self, machine: VmId, now: Time) {
-        let until = now + self.bounds.order_lease + HANDOVER;
-        self.barred.insert(machine, until);
+    /// of its row are the only ones that it may still order, and only those
+    /// whose last order had no answer.
+    pub fn bar_machines(&mut self, row: &OrdersRow, now: Time) {
+        let bound = self.bounds.order_lease;
+        for (machine, age) in &row.0 {
+            let until = match age {
+                Some(millis) => {
+                    now + bound.saturating_sub(Duration::from_millis(*millis)) + TURN_SLACK
+                }
+                None => now + bound + HANDOVER,
+            };
+            self.barred.insert(machine.clone(), until);
+        }
     }
 
     /// Returns whether a predecessor's orders for a machine are certainly over.
--- a/crates/wigeonhinge/tests/batch_pools.rs
+++ b/crates/wigeonhinge/tests/batch_pools.rs
@@ -12,9 +12,11 @@
 use cluster::job;
 use cluster::machine;
 use cluster::step;
+use rstest::rstest;
 use wigeonhinge::batch::Action;
 use wigeonhinge::batch::Event;
 use wigeonhinge::batch::Machine;
+use wigeonhinge::batch::OrdersRow;
 use wigeonhinge::batch::Step;
 use wigeonhinge::batch::Wave;
 
@@ -33,6 +35,11 @@
     cluster.actions.iter().filter(is).count()
 }
 
+fn ordered(cluster: &Cluster, id: &str) -> bool {
+    let is = |action: &Action| matches!(action, Action::Move { machine, .. } if machine == id);
+    cluster.actions.iter().any(is)
+}
+
 fn maintained(cluster: &Cluster) -> Vec<String> {
     let orders = cluster.actions.iter().filter_map(|action| match action {
         Action::Maintain { machine, .. } => Some(machine.to_string()),
@@ -147,20 +154,27 @@
     assert_eq!(maintained(&cluster), [name]);
 }
 
-/// A machine that a predecessor ordered lately gets no order; others do at once.
-#[test]
-fn takeover_keeps_away() {
+/// A machine that a predecessor may still order gets no order for the platform's bound of 3 s
+/// and the time of the predecessor's own orders; one whose last order was answered waits for
+/// the rest of the bound; others are ordered at once.
+#[rstest]
+#[case::open(None, Duration::from_millis(4_400), Duration::from_millis(4_800))]
+#[case::answered(Some(2_000), Duration::from_millis(900), Duration::from_millis(1_500))]
+fn takeover_keeps_away(
+    #[case] age: Option<u64>,
+    #[case] barred: Duration,
+    #[case] free: Duration,
+) {
     let mut cluster = Cluster::open(&["w1"]);
-    cluster.batch.bar_machine("p0".into(), cluster.now);
+    let row = OrdersRow([("p0".into(), age)].into());
+    cluster.batch.bar_machines(&row, cluster.now);
     cluster.event(Event::Machines(machines(&["w1"], 2)));
     cluster.submit(job("j", vec![step(60)]));
-    cluster.pass(3 * SECOND);
-    let ordered = |id: &str| {
-        let is = |action: &Action| matches!(action, Action::Move { machine, .. } if machine == id);
-        cluster.actions.iter().any(is)
-    };
-    assert!(ordered("p1"));
-    assert!(!ordered("p0"));
+    cluster.pass(barred);
+    assert!(ordered(&cluster, "p1"));
+    assert!(!ordered(&cluster, "p0"));
+    cluster.pass(free - barred);
+    assert!(ordered(&cluster, "p0"));
 }
 
 /// Filling tasks give way when a task that serves beside them nears its goal.
