--- a/crates/daemon/tests/site.rs
+++ b/crates/daemon/tests/site.rs
@@ -132,7 +132,7 @@
     assert_eq!(entry.ask("POST", &path, JOB).expect("an answer").0, 200);
     assert_eq!(entry.ask("POST", &path, JOB).expect("an answer").0, 200);
     entry.wait_state(id, "completed");
-    assert_eq!(site.faults.starts.load(Ordering::SeqCst), 5);
+    assert_eq!(site.ledger.starts(), 5);
     let (_, page) = exchange(entry.metrics, "GET", "/metrics", "").expect("a page");
     assert!(page.contains("wigeonhinge.start.done 5"), "{page}");
     assert!(page.contains("wigeonhinge.answer.p99_ms"), "{page}");
@@ -163,7 +163,7 @@
     let answer = entry.ask("POST", &format!("/jobs/{id}"), JOB);
     assert_eq!(answer.expect("an answer").0, 200);
     entry.wait_state(id, "completed");
-    assert_eq!(site.faults.starts.load(Ordering::SeqCst), 5);
+    assert_eq!(site.ledger.starts(), 5);
 }
 
 /// A refusal comes at once, says when to come back, and is true.
@@ -181,7 +181,7 @@
     assert!(began.elapsed() < Duration::from_millis(500));
     site.faults.down.store(false, Ordering::SeqCst);
     thread::sleep(Duration::from_secs(1));
-    assert_eq!(site.faults.starts.load(Ordering::SeqCst), 0);
+    assert_eq!(site.ledger.starts(), 0);
 }
 
 /// Jobs go on after the holder was killed, and no task runs twice at a time.
@@ -217,7 +217,7 @@
     for id in &ids {
         entries[0].wait_state(id, "completed");
     }
-    assert_eq!(site.faults.twice.load(Ordering::SeqCst), 0);
+    assert_eq!(site.ledger.violations(), Vec::<String>::new());
 }
 
 /// A configuration of a lower version never comes back into force.
