Add a fault soak of the real program as separate processes

Randomized by seed: kills, stops, pauses, proxies that delay, hold one way, silence and reset, a store that is down, slow, loses answers and its history, configurations in between; the promises are checked from what callers and workers saw.

--- a/crates/daemon/tests/site.rs
+++ b/crates/daemon/tests/site.rs
@@ -1,131 +1,29 @@
 //! The real program as an entry on the users' platform, with the platform on loopback.
 
+#[path = "support/entry.rs"]
+mod entry;
 #[path = "../../../platform/tests/support/site.rs"]
 mod site;
 
-use std::fs;
-use std::io::Read;
-use std::io::Write;
-use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::net::TcpStream;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use entry::Entry;
+use entry::exchange;
+use entry::wait;
 use rstest::rstest;
 use site::Site;
 
 const JOB: &str = r#"{"spec":"t","steps":[{"count":3,"cpu":500,"memMb":100,"estimateMs":150},
     {"count":2,"cpu":500,"memMb":100,"estimateMs":150,"after":[0]}]}"#;
 
-/// Longest time until something that has to happen did.
-const PATIENCE: Duration = Duration::from_secs(12);
-
-/// Running entry; dropping it kills it.
-struct Entry {
-    child: Child,
-    callers: SocketAddr,
-    readiness: SocketAddr,
-    metrics: SocketAddr,
-    file: PathBuf,
-}
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = fs::remove_file(&self.file);
-    }
-}
-
-fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
-    listener.local_addr().expect("an address")
-}
-
-impl Entry {
-    fn spawn(site: &Site, name: &str) -> Self {
-        let (callers, readiness, metrics) = (free(), free(), free());
-        let text = format!(
-            r#"// Settings of a test.
-            {{ "entry": "{name}", "zone": "a", "callers": "{callers}", "readiness": "{readiness}",
-              "metrics": "{metrics}", "store": "{}", "bounds": {{ "lease_ms": 10000,
-              "retention_secs": 120, "migrate_secs": 1.5, "maintenance_secs": 2,
-              "order_lease_ms": 3000, "notice_ms": 4500, "shortest_lease_ms": 1000, }}, }}"#,
-            site.store
-        );
-        let file = format!("wigeonhinge-{}-{name}.jsonc", callers.port());
-        let file = std::env::temp_dir().join(file);
-        fs::write(&file, text).expect("a settings file");
-        let child = Command::new(env!("CARGO_BIN_EXE_wigeonhinged"))
-            .args(["--site", "--settings"])
-            .arg(&file)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("a process");
-        Self {
-            child,
-            callers,
-            readiness,
-            metrics,
-            file,
-        }
-    }
-
-    fn ask(&self, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
-        exchange(self.callers, method, path, body)
-    }
-
-    fn wait_ready(&self) {
-        wait("the entry is ready", || {
-            exchange(self.readiness, "GET", "/", "").is_some_and(|it| it.0 == 200)
-        });
-    }
-
-    fn wait_state(&self, id: &str, state: &str) {
-        wait(state, || {
-            let answer = self.ask("GET", &format!("/jobs/{id}"), "");
-            answer.is_some_and(|(_, body)| body.contains(state))
-        });
-    }
-}
-
-fn wait(what: &str, mut happened: impl FnMut() -> bool) {
-    let until = Instant::now() + PATIENCE;
-    while !happened() {
-        assert!(Instant::now() < until, "not within {PATIENCE:?}: {what}");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
-/// Runs one exchange on a new connection; returns the status and the whole answer.
-fn exchange(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
-    let mut stream = TcpStream::connect(address).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
-    let length = body.len();
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: crews.example\r\nConnection: close\r\n\
-         Content-Length: {length}\r\n\r\n{body}"
-    );
-    stream.write_all(request.as_bytes()).ok()?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).ok()?;
-    let status = answer.split(' ').nth(1)?.parse().ok()?;
-    Some((status, answer))
-}
-
 /// A job is accepted, runs its steps in order, and is shown as completed.
 #[test]
 fn job_completes() {
     let site = Site::spawn(3);
-    let entry = Entry::spawn(&site, "e1");
+    let entry = Entry::spawn(site.store, "e1");
     entry.wait_ready();
     let id = "00000000000000aa";
     let path = format!("/jobs/{id}");
@@ -146,7 +44,7 @@
 #[case::bad_body("POST", "/jobs/00000000000000ac", 400)]
 fn answers_status(#[case] method: &str, #[case] path: &str, #[case] status: u16) {
     let site = Site::spawn(1);
-    let entry = Entry::spawn(&site, "e1");
+    let entry = Entry::spawn(site.store, "e1");
     entry.wait_ready();
     assert_eq!(entry.ask(method, path, "").expect("an answer").0, status);
 }
@@ -155,7 +53,7 @@
 #[test]
 fn submit_lost_answer() {
     let site = Site::spawn(1);
-    let entry = Entry::spawn(&site, "e1");
+    let entry = Entry::spawn(site.store, "e1");
     entry.wait_ready();
     thread::sleep(Duration::from_millis(800));
     site.faults.lost.store(1, Ordering::SeqCst);
@@ -170,7 +68,7 @@
 #[test]
 fn submit_store_down() {
     let site = Site::spawn(1);
-    let entry = Entry::spawn(&site, "e1");
+    let entry = Entry::spawn(site.store, "e1");
     entry.wait_ready();
     site.faults.down.store(true, Ordering::SeqCst);
     let began = Instant::now();
@@ -189,7 +87,7 @@
 fn takeover_after_kill() {
     let site = Site::spawn(3);
     let mut entries: Vec<Entry> = (0..3)
-        .map(|index| Entry::spawn(&site, &format!("e{index}")))
+        .map(|index| Entry::spawn(site.store, &format!("e{index}")))
         .collect();
     entries.iter().for_each(Entry::wait_ready);
     wait("an entry holds the role", || {
@@ -224,7 +122,7 @@
 #[test]
 fn configuration_never_reverts() {
     let site = Site::spawn(1);
-    let entry = Entry::spawn(&site, "e1");
+    let entry = Entry::spawn(site.store, "e1");
     entry.wait_ready();
     let config = site.value("op/config").expect("a configuration");
     site.put(
--- /dev/null
+++ b/crates/daemon/tests/soak/caller.rs
@@ -0,0 +1,248 @@
+//! Callers that hand in jobs, ask for them and cancel some, over connections they keep open.
+#![allow(unreachable_pub)]
+
+use std::collections::BTreeMap;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use crate::site::ledger::Ledger;
+
+/// Time that a caller waits for an answer.
+const DEADLINE: Duration = Duration::from_millis(3_000);
+
+/// Attempts to hand a job in.
+const ATTEMPTS: u32 = 5;
+
+/// Share of the accepted jobs that are cancelled.
+const CANCELLED: f64 = 0.15;
+
+/// Longest pause between two jobs of a caller, in milliseconds.
+const PAUSE_MS: u64 = 150;
+
+/// Answer to a request.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub body: String,
+}
+
+/// Connections of one caller, one to each entry.
+#[derive(Default)]
+pub struct Connections {
+    open: BTreeMap<SocketAddr, BufReader<TcpStream>>,
+}
+
+impl Connections {
+    /// Runs one exchange; nothing is returned without a whole answer in time.
+    pub fn ask(
+        &mut self,
+        entry: SocketAddr,
+        (method, path): (&str, &str),
+        body: &str,
+    ) -> Option<Answer> {
+        let mut stream = match self.open.remove(&entry) {
+            Some(stream) => stream,
+            None => {
+                let stream = TcpStream::connect(entry).ok()?;
+                stream.set_read_timeout(Some(DEADLINE)).ok()?;
+                stream.set_nodelay(true).ok()?;
+                BufReader::new(stream)
+            }
+        };
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: crews.example\r\nX-Deadline-Ms: {}\r\n\
+             Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            DEADLINE.as_millis(),
+            body.len()
+        );
+        stream.get_mut().write_all(request.as_bytes()).ok()?;
+        let (answer, close) = read(&mut stream)?;
+        if !close {
+            self.open.insert(entry, stream);
+        }
+        Some(answer)
+    }
+}
+
+/// Reads an answer; also returns whether its sender closes the connection.
+fn read(stream: &mut BufReader<TcpStream>) -> Option<(Answer, bool)> {
+    let mut line = String::new();
+    stream.read_line(&mut line).ok()?;
+    let status = line.split(' ').nth(1)?.parse().ok()?;
+    let mut length = 0;
+    let mut close = false;
+    loop {
+        line.clear();
+        stream.read_line(&mut line).ok()?;
+        let header = line.trim().to_ascii_lowercase();
+        if header.is_empty() {
+            break;
+        }
+        if let Some(value) = header.strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        }
+        close |= header == "connection: close";
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    let body = String::from_utf8_lossy(&body).into_owned();
+    Some((Answer { status, body }, close))
+}
+
+/// What became of a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    Accepted,
+    Refused,
+    Cancelled,
+    /// No attempt to hand it in, or to cancel it, had a certain answer.
+    Unknown,
+}
+
+/// Hands in jobs until it is told to stop; returns what became of each.
+pub fn run(
+    seed: u64,
+    entries: &[SocketAddr],
+    ledger: &Arc<Ledger>,
+    stop: &AtomicBool,
+) -> BTreeMap<String, Fate> {
+    let mut caller = Caller {
+        random: Pcg64::seed_from_u64(seed),
+        connections: Connections::default(),
+        entries,
+        ledger,
+    };
+    let mut fates = BTreeMap::new();
+    for number in 0u64.. {
+        if stop.load(Ordering::SeqCst) {
+            break;
+        }
+        let id = format!("{:08x}{number:08x}", seed as u32);
+        let fate = caller.job(&id);
+        fates.insert(id, fate);
+        thread::sleep(Duration::from_millis(
+            caller.random.random_range(0..PAUSE_MS),
+        ));
+    }
+    fates
+}
+
+struct Caller<'a> {
+    random: Pcg64,
+    connections: Connections,
+    entries: &'a [SocketAddr],
+    ledger: &'a Ledger,
+}
+
+impl Caller<'_> {
+    fn ask(&mut self, method: &str, id: &str, body: &str) -> Option<Answer> {
+        let entry = self.entries[self.random.random_range(0..self.entries.len())];
+        let path = format!("/jobs/{id}");
+        let answer = self.connections.ask(entry, (method, &path), body);
+        if let Some(answer) = answer.as_ref().filter(|it| it.status == 404) {
+            let body = &answer.body;
+            let line = format!("{method} {id} was answered with 404: {body}");
+            self.ledger.broken(line);
+        }
+        answer
+    }
+
+    fn job(&mut self, id: &str) -> Fate {
+        let steps: Vec<u64> = (0..self.random.random_range(1..=3))
+            .map(|_| self.random.random_range(1..=4))
+            .collect();
+        let spec = format!("spec of {id}");
+        self.ledger.submitted(id, &spec, &steps);
+        let rows: Vec<serde_json::Value> = steps
+            .iter()
+            .enumerate()
+            .map(|(index, count)| {
+                let after: Vec<usize> = index.checked_sub(1).into_iter().collect();
+                serde_json::json!({ "count": count, "cpu": 300, "memMb": 50, "estimateMs": 150,
+                    "after": after })
+            })
+            .collect();
+        let body = serde_json::json!({ "spec": spec, "steps": rows }).to_string();
+        match self.submit(id, &body) {
+            Fate::Accepted => {}
+            fate => return fate,
+        }
+        if self.random.random_bool(CANCELLED) {
+            return self.cancel(id);
+        }
+        if self.random.random_bool(0.5) {
+            let answer = self.ask("GET", id, "");
+            check(self.ledger, id, answer.as_ref());
+        }
+        Fate::Accepted
+    }
+
+    fn submit(&mut self, id: &str, body: &str) -> Fate {
+        let mut unknown = false;
+        for _ in 0..ATTEMPTS {
+            match self.ask("POST", id, body).map(|it| it.status) {
+                Some(200) => return Fate::Accepted,
+                Some(429 | 503) => {}
+                _ => unknown = true,
+            }
+            thread::sleep(Duration::from_millis(self.random.random_range(20..200)));
+        }
+        if unknown {
+            return Fate::Unknown;
+        }
+        self.ledger.refused(id);
+        Fate::Refused
+    }
+
+    fn cancel(&mut self, id: &str) -> Fate {
+        for _ in 0..ATTEMPTS {
+            match self.ask("DELETE", id, "").map(|it| it.status) {
+                Some(200) => {
+                    self.ledger.cancelled(id);
+                    return Fate::Cancelled;
+                }
+                // It was complete before.
+                Some(410) => return Fate::Accepted,
+                _ => thread::sleep(Duration::from_millis(self.random.random_range(20..200))),
+            }
+        }
+        Fate::Unknown
+    }
+}
+
+/// Compares what an entry says of an accepted job with what workers did; returns whether
+/// it is shown as completed.
+pub fn check(ledger: &Ledger, id: &str, answer: Option<&Answer>) -> bool {
+    let Some(answer) = answer else {
+        return false;
+    };
+    match answer.status {
+        200 => {}
+        410 => ledger.broken(format!("{id} was accepted and is not known")),
+        _ => return false,
+    }
+    let completed = answer.body.contains("completed");
+    if completed && !ledger.complete(id) {
+        ledger.broken(format!(
+            "{id} is shown as completed, and a task is not done"
+        ));
+    }
+    if answer.body.contains("failed") || answer.body.contains("canceled") {
+        let body = &answer.body;
+        ledger.broken(format!("{id} is shown as {body} without a cause"));
+    }
+    completed
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/fault.rs
@@ -0,0 +1,156 @@
+//! Faults that are injected from outside the processes, each for some time.
+#![allow(unreachable_pub)]
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64;
+use rustix::process::Signal;
+
+use crate::run::System;
+use crate::site::proxy::Mode;
+
+/// Longest time of a fault in milliseconds.
+const LONGEST_MS: u64 = 4_000;
+
+/// What a fault strikes, by index.
+#[derive(Clone, Copy, Debug)]
+pub enum Link {
+    /// The way of an entry to the store.
+    Store(usize),
+    /// The way of all entries to a worker.
+    Worker(usize),
+}
+
+/// Fault.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// A process is killed, and starts again when the fault is over.
+    Kill(usize),
+    /// Every process is killed.
+    KillAll,
+    /// A process is told to stop, and starts again when the fault is over.
+    Terminate(usize),
+    /// A process stands still.
+    Pause(usize),
+    /// A link treats bytes in a way.
+    Mode(Link, Mode),
+    /// The open connections of a link fall silent for good.
+    Silence(Link),
+    /// The open connections of a link are reset.
+    Reset(Link),
+    /// The store refuses every call.
+    StoreDown,
+    /// The store answers late.
+    StoreSlow,
+    /// Answers to writes are lost.
+    StoreLost,
+    /// The store's history is gone.
+    StoreCompacted,
+    /// The configuration changes.
+    Configure,
+}
+
+/// Fault with its time.
+#[derive(Clone, Copy, Debug)]
+pub struct Event {
+    pub at: Duration,
+    pub until: Duration,
+    pub fault: Fault,
+}
+
+/// Draws the faults of a run; about one a second begins, and they overlap.
+pub fn draw(
+    random: &mut Pcg64,
+    length: Duration,
+    (entries, workers): (usize, usize),
+) -> Vec<Event> {
+    let count = length.as_secs().max(4) as usize * 5 / 4;
+    let mut events: Vec<Event> = (0..count)
+        .map(|_| {
+            let at = Duration::from_millis(random.random_range(0..length.as_millis() as u64));
+            let time = Duration::from_millis(random.random_range(100..LONGEST_MS));
+            Event {
+                at,
+                until: at + time,
+                fault: kind(random, entries, workers),
+            }
+        })
+        .collect();
+    events.sort_by_key(|event| event.at);
+    events
+}
+
+fn kind(random: &mut Pcg64, entries: usize, workers: usize) -> Fault {
+    let entry = random.random_range(0..entries);
+    let link = match random.random_bool(0.5) {
+        true => Link::Store(entry),
+        false => Link::Worker(random.random_range(0..workers)),
+    };
+    let mode = match random.random_range(0..4) {
+        0 => Mode::Delay(Duration::from_millis(random.random_range(20..300))),
+        1 => Mode::Hold,
+        2 => Mode::HoldUp,
+        _ => Mode::HoldDown,
+    };
+    match random.random_range(0..20) {
+        0..=2 => Fault::Kill(entry),
+        3 => Fault::KillAll,
+        4..=5 => Fault::Terminate(entry),
+        6..=8 => Fault::Pause(entry),
+        9..=12 => Fault::Mode(link, mode),
+        13 => Fault::Silence(link),
+        14 => Fault::Reset(link),
+        15 => Fault::StoreDown,
+        16 => Fault::StoreSlow,
+        17 => Fault::StoreLost,
+        18 => Fault::StoreCompacted,
+        _ => Fault::Configure,
+    }
+}
+
+impl Fault {
+    /// Begins the fault.
+    pub fn begin(self, system: &mut System, random: &mut Pcg64) {
+        let faults = &system.site.faults;
+        match self {
+            Self::Kill(entry) => system.signal(entry, Signal::KILL),
+            Self::KillAll => {
+                (0..system.entries.len()).for_each(|it| system.signal(it, Signal::KILL))
+            }
+            Self::Terminate(entry) => system.signal(entry, Signal::TERM),
+            Self::Pause(entry) => system.signal(entry, Signal::STOP),
+            Self::Mode(link, mode) => system.proxy(link).set(mode),
+            Self::Silence(link) => system.proxy(link).silence(),
+            Self::Reset(link) => system.proxy(link).reset(),
+            Self::StoreDown => faults.down.store(true, Ordering::SeqCst),
+            Self::StoreSlow => {
+                let time = random.random_range(40..400);
+                faults.slow_ms.store(time, Ordering::SeqCst);
+            }
+            Self::StoreLost => {
+                let count = random.random_range(1..8);
+                faults.lost.store(count, Ordering::SeqCst);
+            }
+            Self::StoreCompacted => faults.compacted.store(true, Ordering::SeqCst),
+            Self::Configure => system.configure(),
+        }
+    }
+
+    /// Ends the fault.
+    pub fn end(self, system: &mut System) {
+        let faults = &system.site.faults;
+        match self {
+            Self::Kill(entry) | Self::Terminate(entry) => system.restart(entry),
+            Self::KillAll => (0..system.entries.len()).for_each(|it| system.restart(it)),
+            Self::Pause(entry) => system.signal(entry, Signal::CONT),
+            Self::Mode(link, _) => system.proxy(link).set(Mode::Pass),
+            Self::StoreDown => faults.down.store(false, Ordering::SeqCst),
+            Self::StoreSlow => faults.slow_ms.store(0, Ordering::SeqCst),
+            Self::StoreLost => faults.lost.store(0, Ordering::SeqCst),
+            Self::StoreCompacted => faults.compacted.store(false, Ordering::SeqCst),
+            Self::Silence(_) | Self::Reset(_) | Self::Configure => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/support/entry.rs
@@ -0,0 +1,125 @@
+//! The real program as a process of its own, and callers that speak HTTP to it.
+#![allow(dead_code, unreachable_pub)]
+
+use std::fs;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Longest time until something that has to happen did.
+pub const PATIENCE: Duration = Duration::from_secs(12);
+
+/// Running entry; dropping it kills it.
+pub struct Entry {
+    pub child: Child,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
+    pub file: PathBuf,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+/// Starts the program with a settings file.
+pub fn program(file: &Path, log: Stdio) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_wigeonhinged"))
+        .args(["--site", "--settings"])
+        .arg(file)
+        .stdout(log)
+        .spawn()
+        .expect("a process")
+}
+
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+    listener.local_addr().expect("an address")
+}
+
+impl Entry {
+    /// Starts an entry that finds the platform's store at an address.
+    pub fn spawn(store: SocketAddr, name: &str) -> Self {
+        let (callers, readiness, metrics) = (free(), free(), free());
+        let text = format!(
+            r#"// Settings of a test.
+            {{ "entry": "{name}", "zone": "a", "callers": "{callers}", "readiness": "{readiness}",
+              "metrics": "{metrics}", "store": "{}", "bounds": {{ "lease_ms": 10000,
+              "retention_secs": 120, "migrate_secs": 1.5, "maintenance_secs": 2,
+              "order_lease_ms": 3000, "notice_ms": 4500, "shortest_lease_ms": 1000, }}, }}"#,
+            store
+        );
+        let file = format!("wigeonhinge-{}-{name}.jsonc", callers.port());
+        let file = std::env::temp_dir().join(file);
+        fs::write(&file, text).expect("a settings file");
+        let child = program(&file, Stdio::null());
+        Self {
+            child,
+            callers,
+            readiness,
+            metrics,
+            file,
+        }
+    }
+
+    pub fn ask(&self, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        exchange(self.callers, method, path, body)
+    }
+
+    pub fn wait_ready(&self) {
+        wait("the entry is ready", || {
+            exchange(self.readiness, "GET", "/", "").is_some_and(|it| it.0 == 200)
+        });
+    }
+
+    pub fn wait_state(&self, id: &str, state: &str) {
+        wait(state, || {
+            let answer = self.ask("GET", &format!("/jobs/{id}"), "");
+            answer.is_some_and(|(_, body)| body.contains(state))
+        });
+    }
+}
+
+pub fn wait(what: &str, mut happened: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !happened() {
+        assert!(Instant::now() < until, "not within {PATIENCE:?}: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Runs one exchange on a new connection; returns the status and the whole answer.
+pub fn exchange(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Option<(u16, String)> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+    let length = body.len();
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: crews.example\r\nConnection: close\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    let status = answer.split(' ').nth(1)?.parse().ok()?;
+    Some((status, answer))
+}
--- a/crates/wigeonhinge/tests/batch_pools.rs
+++ b/crates/wigeonhinge/tests/batch_pools.rs
@@ -160,11 +160,7 @@
 #[rstest]
 #[case::open(None, Duration::from_millis(4_400), Duration::from_millis(4_800))]
 #[case::answered(Some(2_000), Duration::from_millis(900), Duration::from_millis(1_500))]
-fn takeover_keeps_away(
-    #[case] age: Option<u64>,
-    #[case] barred: Duration,
-    #[case] free: Duration,
-) {
+fn takeover_keeps_away(#[case] age: Option<u64>, #[case] barred: Duration, #[case] free: Duration) {
     let mut cluster = Cluster::open(&["w1"]);
     let row = OrdersRow([("p0".into(), age)].into());
     cluster.batch.bar_machines(&row, cluster.now);
