Count a lasting run as at work only once a predecessor's stop would show

Ruled out: absences counted by the predecessor itself (within the limit), leases.

Change: a sibling counts as at work 600 ms after its run was first listed or confirmed, which covers the bound for a stop. The test fails without it.

--- a/crates/wigeonhinge/src/batch/upkeep.rs
+++ b/crates/wigeonhinge/src/batch/upkeep.rs
@@ -10,6 +10,7 @@
 use crate::batch::TaskId;
 use crate::batch::WorkerId;
 use crate::batch::pools::Order;
+use crate::batch::worker::RunState;
 use crate::batch::worker::Stage;
 use crate::id::PoolId;
 use crate::id::Time;
@@ -33,6 +34,10 @@
 /// Time in which a machine with lasting tasks is emptied.
 const EMPTYING: Duration = Duration::from_millis(3_000);
 
+/// Time for which a worker may still list a run that a predecessor stopped: the platform's
+/// longest bound for a stop is 400 ms, and its order took some milliseconds.
+const STOPPING: Duration = Duration::from_millis(600);
+
 /// Cost from which a machine counts as busy.
 const BUSY: u64 = 100;
 
@@ -250,7 +255,7 @@
                 free = false;
                 continue;
             }
-            if lasting && self.may_miss(&task) && self.has_place(&task, now) {
+            if lasting && self.may_miss(&task, now) && self.has_place(&task, now) {
                 self.note(format!("waves: {task} leaves worker {id}"));
                 self.stop(id, &task);
             }
@@ -271,7 +276,7 @@
     }
 
     /// Returns whether an order may end a lasting task's run now.
-    fn may_miss(&self, task: &TaskId) -> bool {
+    fn may_miss(&self, task: &TaskId, now: Time) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return true;
         };
@@ -279,13 +284,17 @@
             return true;
         };
         let limit = limit.unwrap_or(1).max(1) as usize;
+        let at_work = |run: &RunState| match run.stage {
+            Stage::Confirmed(since) => run.percent >= 100 && now.saturating_sub(since) >= STOPPING,
+            Stage::Reserved | Stage::Starting | Stage::Stopping(..) => false,
+        };
         let siblings = job.tasks().filter(|(id, _)| {
             id.occurrence == task.occurrence && id.step == task.step && id.index != task.index
         });
         let away = siblings.filter(|(id, state)| {
             let worker = state.worker().and_then(|worker| self.workers.get(worker));
             let run = worker.and_then(|worker| worker.runs.get(id));
-            !run.is_some_and(|run| matches!(run.stage, Stage::Confirmed(_)) && run.percent >= 100)
+            !run.is_some_and(at_work)
         });
         away.count() < limit
     }
--- a/crates/wigeonhinge/tests/batch_pools.rs
+++ b/crates/wigeonhinge/tests/batch_pools.rs
@@ -136,6 +136,36 @@
     assert!(stops.count() <= 1);
 }
 
+/// A run that the predecessor has just stopped is still listed for some 400 ms; taking it for
+/// one at work would let a second task of its step be stopped.
+#[test]
+fn takeover_counts_predecessors_stops() {
+    let lasting = Step {
+        lasting: true,
+        spread: 1,
+        may_miss: Some(1),
+        ..step(2)
+    };
+    let workers = ["w1", "w2", "w3"];
+    let mut cluster = Cluster::open(&workers);
+    cluster.submit(job("j", vec![lasting]));
+    cluster.store();
+    for node in cluster.nodes.values_mut() {
+        node.runs.values_mut().for_each(|work| work.percent = 100);
+    }
+    cluster.look();
+    cluster.succeed();
+    cluster.event(Event::Machines(machines(&workers, 0)));
+    let holder = cluster.holder("j.0.0.0").expect("a run");
+    let machine = format!("m-{holder}");
+    cluster.event(Event::Wave(wave(&[&machine], 3, 3)));
+    cluster.pass(Duration::from_millis(400));
+    let stop = |action: &Action| matches!(action, Action::Stop { .. });
+    assert!(!cluster.actions.iter().any(stop));
+    cluster.pass(SECOND);
+    assert!(cluster.actions.iter().any(stop), "the other task is at work for certain");
+}
+
 /// A machine with a run is not taken down while there is time.
 #[test]
 fn wave_waits_for_runs() {
