Look up queues by name and longest prefix; requeue jobs only when their queue changed

Each lookup went through all queues, and each new version took every job out of the list of ready tasks and put it back.

--- a/crates/daemon/src/site/watcher.rs
+++ b/crates/daemon/src/site/watcher.rs
@@ -141,7 +141,7 @@
     let version = current.as_ref().map_or(0, |it| it.version);
     if catalog.version > version {
         info!(shared.log, "watch: configuration is in force"; "version" => catalog.version,
-            "before" => version, "queues" => catalog.queues.len());
+            "before" => version, "queues" => catalog.queues().len());
         *current = Some(Rc::new(catalog));
     }
 }
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -10,6 +10,7 @@
 //!   run under the current fence, has a new incarnation, or its lease has ended.
 
 mod balance;
+mod catalog;
 mod demand;
 mod grant;
 mod handover;
@@ -43,6 +44,9 @@
 use crate::batch::upkeep::Upkeep;
 use crate::batch::worker::Worker;
 
+pub use crate::batch::catalog::Catalog;
+pub use crate::batch::catalog::PoolRule;
+pub use crate::batch::catalog::Queue;
 pub use crate::batch::grant::Grant;
 pub use crate::batch::handover::OrderLog;
 pub use crate::batch::handover::OrdersRow;
@@ -57,10 +61,7 @@
 pub use crate::batch::row::ProgressRow;
 pub use crate::batch::row::StateRow;
 pub use crate::batch::row::TaskRow;
-pub use crate::batch::spec::Catalog;
 pub use crate::batch::spec::JobSpec;
-pub use crate::batch::spec::PoolRule;
-pub use crate::batch::spec::Queue;
 pub use crate::batch::spec::Size;
 pub use crate::batch::spec::Step;
 pub use crate::batch::spec::WorkerEntry;
--- a/crates/wigeonhinge/src/batch/balance.rs
+++ b/crates/wigeonhinge/src/batch/balance.rs
@@ -180,7 +180,7 @@
 
     /// Returns the cores that a pool's queues are expected to keep busy.
     fn forecast(&self, pool: &PoolId, now: Time) -> f64 {
-        let queues = self.catalog.queues.iter().filter(|it| it.pool == *pool);
+        let queues = self.catalog.queues().filter(|it| it.pool == *pool);
         queues
             .map(|queue| self.demand.forecast(&queue.name, LEAD, now))
             .sum()
--- a/crates/wigeonhinge/src/batch/job.rs
+++ b/crates/wigeonhinge/src/batch/job.rs
@@ -104,12 +104,22 @@
         job
     }
 
-    fn follow(&mut self, queue: &Queue) {
-        self.pool = queue.pool.clone();
-        self.priority = queue.priority;
+    /// Takes over what the queue says; returns whether that changes the order of starts.
+    fn follow(&mut self, queue: &Queue) -> bool {
+        let before = (
+            std::mem::replace(&mut self.pool, queue.pool.clone()),
+            std::mem::replace(&mut self.priority, queue.priority),
+            std::mem::replace(&mut self.stretch, queue.stretch),
+            std::mem::replace(&mut self.objective, queue.objective),
+        );
         self.attempts = queue.attempts.max(1);
-        self.stretch = queue.stretch;
-        self.objective = queue.objective;
+        before
+            != (
+                self.pool.clone(),
+                self.priority,
+                self.stretch,
+                self.objective,
+            )
     }
 
     /// Returns the number of occurrences.
@@ -282,8 +292,9 @@
         let Some(queue) = self.catalog.queue(&job.row.queue) else {
             return;
         };
-        job.follow(queue);
-        self.requeue(id, now);
+        if job.follow(queue) {
+            self.requeue(id, now);
+        }
     }
 
     /// Takes a job's tasks out of the list of ready ones and adds them anew.
--- a/crates/wigeonhinge/src/batch/spec.rs
+++ b/crates/wigeonhinge/src/batch/spec.rs
@@ -1,6 +1,4 @@
-//! Jobs, queues, pools and workers as they were described.
-
-use std::time::Duration;
+//! Jobs and workers as they were described.
 
 use compact_str::CompactString;
 use serde::Deserialize;
@@ -11,73 +9,6 @@
 use crate::id::VmId;
 use crate::id::ZoneId;
 
-/// Configuration: queues and pools.
-#[derive(Clone, Debug, Default)]
-pub struct Catalog {
-    /// Version; a later configuration has a higher one.
-    pub version: u64,
-    /// Queues.
-    pub queues: Vec<Queue>,
-    /// Pools.
-    pub pools: Vec<PoolRule>,
-    /// Largest body of a request in bytes.
-    pub body_bytes: usize,
-}
-
-impl Catalog {
-    /// Returns a queue by its name.
-    pub fn queue(&self, name: &str) -> Option<&Queue> {
-        self.queues.iter().find(|queue| queue.name == name)
-    }
-
-    /// Returns the queue of a request, by its host and the longest prefix of its path.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Queue> {
-        self.queues
-            .iter()
-            .filter(|queue| queue.host == host && path.starts_with(queue.prefix.as_str()))
-            .max_by_key(|queue| queue.prefix.len())
-    }
-
-    /// Returns whether machines of a pool are off and free of charge.
-    pub fn parked(&self, pool: &str) -> bool {
-        self.pools
-            .iter()
-            .any(|rule| rule.name == pool && rule.parked)
-    }
-}
-
-/// Queue of jobs.
-#[derive(Clone, Debug)]
-pub struct Queue {
-    /// Name.
-    pub name: CompactString,
-    /// Host of its requests.
-    pub host: CompactString,
-    /// Prefix of its paths.
-    pub prefix: CompactString,
-    /// Pool whose workers run its tasks.
-    pub pool: PoolId,
-    /// Priority; 0 comes first.
-    pub priority: u32,
-    /// Starts of a task that may fail.
-    pub attempts: u32,
-    /// Factor on a job's longest chain of work in its latency objective.
-    pub stretch: f64,
-    /// Constant part of a job's latency objective.
-    pub objective: Duration,
-}
-
-/// Rule of a pool.
-#[derive(Clone, Debug)]
-pub struct PoolRule {
-    /// Name.
-    pub name: PoolId,
-    /// Whether its workers reject what exceeds their capacity.
-    pub guarded: bool,
-    /// Whether its machines are off and free of charge.
-    pub parked: bool,
-}
-
 /// Size of a task, or capacity of a worker.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Size {
--- a/crates/wigeonhinge/tests/batch_pools.rs
+++ b/crates/wigeonhinge/tests/batch_pools.rs
@@ -163,7 +163,10 @@
     let stop = |action: &Action| matches!(action, Action::Stop { .. });
     assert!(!cluster.actions.iter().any(stop));
     cluster.pass(SECOND);
-    assert!(cluster.actions.iter().any(stop), "the other task is at work for certain");
+    assert!(
+        cluster.actions.iter().any(stop),
+        "the other task is at work for certain"
+    );
 }
 
 /// A machine with a run is not taken down while there is time.
--- a/crates/wigeonhinge/tests/support/cluster.rs
+++ b/crates/wigeonhinge/tests/support/cluster.rs
@@ -92,12 +92,8 @@
         guarded: true,
         parked,
     };
-    Catalog {
-        version: 1,
-        queues: vec![queue("booking")],
-        pools: vec![pool(POOL, false), pool(SPARE, true)],
-        body_bytes: 1 << 18,
-    }
+    let pools = vec![pool(POOL, false), pool(SPARE, true)];
+    Catalog::new(1, [queue("booking")], pools, 1 << 18)
 }
 
 pub fn entry(id: &str) -> WorkerEntry {
