Give orders to machines over four connections, paced by what the service accepts

Cause: on the grown sites 139 to 170 decided moves took 2.5 s to be ordered: one connection carries at most 86 orders a second, the service accepts 215 there. No order was refused for its rate. Ruled out: clearing of machines (planned moves of idle machines waited as well), bars after takeovers.

Change: four connections, and a pacer with the bound from the settings (machine_orders), bursts of 16 free.

--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -165,17 +165,21 @@
             let holder = shared.settings.entry.to_string();
             let log = shared.log.clone();
             let list = orders::list(address, holder.clone(), log.clone(), inbox.clone());
-            let renewed = Rc::clone(&term.renewed);
-            let fence = term.fence;
-            let give = orders::give(
-                (address, holder),
-                (fence, renewed),
-                queue,
-                log,
-                inbox.clone(),
-            );
             tasks.push(compio::runtime::spawn(list));
-            tasks.push(compio::runtime::spawn(give));
+            let pacer = Rc::new(orders::Pacer::new(shared.settings.machine_orders));
+            for _ in 0..orders::LANES {
+                let renewed = Rc::clone(&term.renewed);
+                let authority = (term.fence, renewed, Rc::clone(&pacer));
+                let service = (address, holder.clone());
+                let give = orders::give(
+                    service,
+                    authority,
+                    queue.clone(),
+                    log.clone(),
+                    inbox.clone(),
+                );
+                tasks.push(compio::runtime::spawn(give));
+            }
         }
         let mut role = Self {
             shared: Rc::clone(shared),
--- a/crates/daemon/src/site/settings.rs
+++ b/crates/daemon/src/site/settings.rs
@@ -28,6 +28,9 @@
     pub store: SocketAddr,
     /// Address of the service that manages machines; none if there is none.
     pub machines: Option<SocketAddr>,
+    /// Orders to machines that the service accepts a second; 64 if absent.
+    #[serde(default = "orders_per_s")]
+    pub machine_orders: f64,
     /// Address of the service that advises on placement; none if there is none.
     pub advice: Option<SocketAddr>,
     /// Processor time that the entry may use, in cores; 1 if absent.
@@ -37,6 +40,10 @@
     pub bounds: Bounds,
 }
 
+fn orders_per_s() -> f64 {
+    64.0
+}
+
 fn one_core() -> f64 {
     1.0
 }
@@ -94,6 +101,10 @@
         if !(self.cores > 0.0 && self.cores <= 1e4) {
             bail!("cores is {}; expected more than 0, at most 1e4", self.cores);
         }
+        if !(self.machine_orders > 0.0 && self.machine_orders <= 1e6) {
+            let value = self.machine_orders;
+            bail!("machine_orders is {value}; expected more than 0, at most 1e6 a second");
+        }
         if self.entry.is_empty() {
             bail!("entry is empty; expected a name");
         }
