Give no work to a worker whose list has unknown runs; log rows that cannot be read

Ruled out: sizes of recorded runs (all were entered), two holders.

Change: a worker with unknown runs gets nothing until they are gone. The test fails without it.

--- a/crates/daemon/src/site/lookout.rs
+++ b/crates/daemon/src/site/lookout.rs
@@ -191,6 +191,10 @@
                     info!(lane.log, "worker: answers again"; "worker" => %lane.authority.worker);
                 }
                 pause = PAUSE.0;
+                if look.unreadable > 0 {
+                    warn!(lane.log, "worker: rows of its lists cannot be read";
+                        "worker" => %lane.authority.worker, "rows" => look.unreadable);
+                }
                 let mut grant = lane.grant.borrow_mut();
                 grant.read_clock(look.clock_ms, clock::now());
                 drop(grant);
--- a/crates/daemon/src/site/replica.rs
+++ b/crates/daemon/src/site/replica.rs
@@ -23,6 +23,8 @@
     revisions: BTreeMap<String, Revision>,
     /// Whether it was read whole at least once.
     pub(super) complete: bool,
+    /// Keys whose values cannot be read, with the reason, since they were last taken.
+    unreadable: Vec<(String, String)>,
 }
 
 /// What is known of a job.
@@ -115,24 +117,39 @@
         }
         *last = item.revision;
         if let Some(id) = item.key.strip_prefix(keys::JOBS) {
-            if let Ok(row) = serde_json::from_slice::<JobRow>(&item.value) {
-                let known = self.jobs.entry(id.into()).or_default();
-                known.queue = row.queue;
-                known.open = true;
+            match serde_json::from_slice::<JobRow>(&item.value) {
+                Ok(row) => {
+                    let known = self.jobs.entry(id.into()).or_default();
+                    known.queue = row.queue;
+                    known.open = true;
+                }
+                Err(error) => self.skip(item, &error),
             }
         } else if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
             self.jobs.entry(id.into()).or_default().cancelled = true;
         } else if let Some(id) = item.key.strip_prefix(keys::STATES) {
-            if let Ok(row) = serde_json::from_slice::<StateRow>(&item.value) {
-                let known = self.jobs.entry(id.into()).or_default();
-                known.queue = row.queue;
-                known.phase = row.phase;
+            match serde_json::from_slice::<StateRow>(&item.value) {
+                Ok(row) => {
+                    let known = self.jobs.entry(id.into()).or_default();
+                    known.queue = row.queue;
+                    known.phase = row.phase;
+                }
+                Err(error) => self.skip(item, &error),
             }
         } else if item.key == keys::ROLE {
             self.role = Some(item.revision);
         }
     }
 
+    fn skip(&mut self, item: &Item, error: &serde_json::Error) {
+        self.unreadable.push((item.key.clone(), error.to_string()));
+    }
+
+    /// Takes the keys whose values could not be read, with the reason.
+    pub(super) fn take_unreadable(&mut self) -> Vec<(String, String)> {
+        std::mem::take(&mut self.unreadable)
+    }
+
     fn remove(&mut self, key: &str, revision: Revision) {
         if self.revisions.get(key).is_some_and(|it| *it >= revision) {
             return;
--- a/crates/daemon/src/site/role/registry.rs
+++ b/crates/daemon/src/site/role/registry.rs
@@ -22,7 +22,6 @@
     }
 
     /// Takes changes; heartbeats that change nothing are left out.
-
     pub(super) fn some_workers(&mut self, changes: Vec<Change>) {
         let mut changed = false;
         for change in changes {
--- a/crates/daemon/src/site/watcher.rs
+++ b/crates/daemon/src/site/watcher.rs
@@ -158,6 +158,9 @@
                 Seen::All(items) => replica.load(items),
                 Seen::Changes(changes) => changes.iter().for_each(|it| replica.apply(it)),
             }
+            for (key, reason) in replica.take_unreadable() {
+                warn!(shared.log, "watch: entry skipped"; "key" => key, "reason" => reason);
+            }
             before != replica.role.is_some()
         };
         if role {
--- a/crates/wigeonhinge/src/batch/balance.rs
+++ b/crates/wigeonhinge/src/batch/balance.rs
@@ -118,7 +118,7 @@
     fn supply(&self, pool: &PoolId, now: Time) -> usize {
         let counts = |held: &&super::pools::Held| match (&held.plan, &held.order) {
             (Some(plan), _) => plan == pool,
-            (None, Some((Order::Move(target), _))) => target == pool,
+            (None, Some(Order::Move(target))) => target == pool,
             _ => {
                 held.machine.pool == *pool
                     && (now < held.back || held.machine.state != MachineState::Down)
@@ -297,7 +297,7 @@
             if let Some(held) = self.machines.get_mut(id) {
                 held.plan = None;
             }
-            self.order(id, Order::Move(pool), now);
+            self.order(id, Order::Move(pool));
         }
     }
 
--- a/crates/wigeonhinge/src/batch/pools.rs
+++ b/crates/wigeonhinge/src/batch/pools.rs
@@ -67,8 +67,8 @@
 #[derive(Debug)]
 pub(super) struct Held {
     pub(super) machine: Machine,
-    /// Order and when it was sent.
-    pub(super) order: Option<(Order, Time)>,
+    /// Order without an answer yet.
+    pub(super) order: Option<Order>,
     /// When an accepted order is over.
     pub(super) back: Time,
     /// Pool to which it moves once it is empty.
@@ -172,11 +172,11 @@
         self.drop_absent(now);
     }
 
-    pub(super) fn order(&mut self, id: &VmId, order: Order, now: Time) {
+    pub(super) fn order(&mut self, id: &VmId, order: Order) {
         let Some(held) = self.machines.get_mut(id) else {
             return;
         };
-        held.order = Some((order.clone(), now));
+        held.order = Some(order.clone());
         let machine = id.clone();
         self.actions.push(match order {
             Order::Move(pool) => Action::Move { machine, pool },
@@ -194,7 +194,7 @@
             held.back = now + ORDER_RETRY;
             return;
         }
-        let Some((order, _)) = held.order.take() else {
+        let Some(order) = held.order.take() else {
             return;
         };
         let time = match &order {
--- a/crates/wigeonhinge/src/batch/report.rs
+++ b/crates/wigeonhinge/src/batch/report.rs
@@ -303,6 +303,9 @@
             self.note(format!("jobs: {task} run {run} is not on worker {id}"));
             self.lost(id, &task, run, now);
         }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unknown = !unknown.is_empty();
+        }
         for (task, run) in unknown {
             self.actions.push(Action::Stop {
                 worker: id.clone(),
--- a/crates/wigeonhinge/src/batch/upkeep.rs
+++ b/crates/wigeonhinge/src/batch/upkeep.rs
@@ -185,7 +185,7 @@
             prepared += 1;
             if self.clear(&worker, urgent, now) && slots > 0 {
                 slots -= 1;
-                self.order(&machine, Order::Maintain(number), now);
+                self.order(&machine, Order::Maintain(number));
             }
         }
     }
--- a/crates/wigeonhinge/src/batch/worker.rs
+++ b/crates/wigeonhinge/src/batch/worker.rs
@@ -112,6 +112,8 @@
     pub(super) paced: Time,
     /// When an order to its machine was last accepted.
     pub(super) ordered: Option<Time>,
+    /// Whether its last list had runs that no record knows; they take room until they are gone.
+    pub(super) unknown: bool,
     /// Highest end seen.
     pub(super) seen: u64,
     /// Ends whose result is not stored yet.
@@ -139,6 +141,7 @@
             streak: 0,
             paced: Time::ZERO,
             ordered: None,
+            unknown: false,
             seen: 0,
             ends: BTreeMap::new(),
             acknowledged: 0,
@@ -184,6 +187,7 @@
             && !self.missing(now)
             && !self.entry.draining
             && !self.held
+            && !self.unknown
             && now.saturating_sub(self.heard) < SILENCE
     }
 
--- a/crates/wigeonhinge/tests/batch.rs
+++ b/crates/wigeonhinge/tests/batch.rs
@@ -416,3 +416,31 @@
     let again = starts.iter().filter(|(task, _)| task == "j.0.0.0");
     assert_eq!(again.count(), 1);
 }
+
+/// Runs of a job that ended before a takeover take room until they are gone; a worker that
+/// does not guard its capacity would be overloaded by others beside them.
+#[test]
+fn takeover_counts_unknown_runs() {
+    let large = Step {
+        millicores: 10_000,
+        ..step(1)
+    };
+    let mut cluster = Cluster::open(&["w1"]);
+    cluster.submit(job("j", vec![large.clone()]));
+    cluster.store();
+    cluster.prompt = false;
+    cluster.event(Event::Cancel("j".into()));
+    cluster.store();
+    cluster.jobs.clear();
+    cluster.jobs.insert("k".into(), job("k", vec![large]));
+    cluster.succeed();
+    cluster.pass(Duration::from_millis(300));
+    assert_eq!(
+        cluster.starts().len(),
+        1,
+        "the stop was not carried out yet"
+    );
+    cluster.nodes.get_mut("w1").expect("a worker").runs.clear();
+    cluster.pass(Duration::from_millis(300));
+    assert_eq!(cluster.starts().last(), Some(&("k.0.0.0".to_owned(), 1)));
+}
