Order no machine by a list from before its last order

Looking for orders that end a task unseen: after an order is over, the list of machines may still name the worker that is gone; that one is unknown, counts as empty, and the machine is ordered again while its new worker already has tasks.

Change: a machine is ordered only once it was listed after its last order, and only if the registry has its worker, had 3 s to get it, or the machine is parked. list_lags_behind_order fails without it.

--- a/crates/wigeonhinge/src/batch/balance.rs
+++ b/crates/wigeonhinge/src/batch/balance.rs
@@ -282,7 +282,10 @@
         let Some(pool) = held.plan.clone() else {
             return;
         };
-        if held.busy(now) || held.machine.state != MachineState::Up {
+        if held.busy(now) || held.outdated() || held.machine.state != MachineState::Up {
+            return;
+        }
+        if !self.worker_certain(held, now) {
             return;
         }
         let worker = held.machine.worker.clone();
--- a/crates/wigeonhinge/src/batch/pools.rs
+++ b/crates/wigeonhinge/src/batch/pools.rs
@@ -18,6 +18,10 @@
 /// Time beyond a move or maintenance until the machine counts as back.
 const RETURN_SLACK: Duration = Duration::from_millis(300);
 
+/// Time after which a listed worker that the registry does not have counts as gone; workers
+/// register within a moment of their start, and entries that lapsed are back within 2 s.
+const UNREGISTERED: Duration = Duration::from_secs(3);
+
 /// Time for which a worker stays reserved for an order that no one asks for any more.
 const HOLD: Duration = Duration::from_millis(600);
 
@@ -71,6 +75,10 @@
     pub(super) order: Option<Order>,
     /// When an accepted order is over.
     pub(super) back: Time,
+    /// When it was last listed.
+    listed: Time,
+    /// When its present worker was first listed.
+    since: Time,
     /// Pool to which it moves once it is empty.
     pub(super) plan: Option<PoolId>,
 }
@@ -87,6 +95,12 @@
             && self.order.is_none()
             && self.plan.is_none()
             && now >= self.back
+            && !self.outdated()
+    }
+
+    /// Returns whether the list may still name the worker from before its last order.
+    pub(super) fn outdated(&self) -> bool {
+        self.listed < self.back
     }
 
     /// Returns whether it is down or may be.
@@ -127,6 +141,10 @@
             match self.machines.get_mut(&machine.id) {
                 Some(held) => {
                     let before = std::mem::replace(&mut held.machine, machine);
+                    held.listed = now;
+                    if held.machine.worker != before.worker {
+                        held.since = now;
+                    }
                     let ordered = matches!(
                         held.machine.state,
                         MachineState::Moving | MachineState::Maintenance
@@ -142,6 +160,8 @@
                         machine,
                         order: None,
                         back: Time::ZERO,
+                        listed: now,
+                        since: now,
                         plan: None,
                     };
                     self.machines.insert(id, held);
@@ -172,6 +192,15 @@
         self.drop_absent(now);
     }
 
+    /// Returns whether a machine's worker is known, or there is none for certain.
+    ///
+    /// A new worker is in the list of machines before the registry has it.
+    pub(super) fn worker_certain(&self, held: &Held, now: Time) -> bool {
+        self.workers.contains_key(&held.machine.worker)
+            || self.catalog.parked(&held.machine.pool)
+            || now.saturating_sub(held.since) > UNREGISTERED
+    }
+
     pub(super) fn order(&mut self, id: &VmId, order: Order) {
         let Some(held) = self.machines.get_mut(id) else {
             return;
--- a/crates/wigeonhinge/src/batch/upkeep.rs
+++ b/crates/wigeonhinge/src/batch/upkeep.rs
@@ -164,7 +164,8 @@
             if held.busy(now) || held.machine.state != MachineState::Up || held.plan.is_some() {
                 continue;
             }
-            if !self.may_order(&machine, now) {
+            if held.outdated() || !self.worker_certain(held, now) || !self.may_order(&machine, now)
+            {
                 continue;
             }
             // Without pressure a pool empties one machine at a time, beside its idle ones.
--- a/crates/wigeonhinge/tests/batch_pools.rs
+++ b/crates/wigeonhinge/tests/batch_pools.rs
@@ -206,6 +206,46 @@
     assert!(ordered(&cluster, "p0"));
 }
 
+/// After an order the list of machines may lag behind the registry: the machine already has a
+/// new worker with a lasting task, and the list still names the one that is gone.
+#[test]
+fn list_lags_behind_order() {
+    let mut cluster = Cluster::open(&["w1", "w2"]);
+    cluster.event(Event::Machines(machines(&["w1", "w2"], 0)));
+    cluster.event(Event::Wave(wave(&["m-w1"], 1, 60)));
+    cluster.pass(SECOND);
+    assert_eq!(maintained(&cluster), ["m-w1"]);
+    cluster.event(Event::Ordered("m-w1".into(), true));
+    cluster.nodes.remove("w1");
+    cluster
+        .nodes
+        .insert("w3".into(), cluster.nodes["w2"].clone());
+    let draining = cluster.entries.iter_mut().find(|it| it.id == "w2");
+    draining.expect("an entry").draining = true;
+    cluster.entries.retain(|it| it.id != "w1");
+    let mut entry = cluster::entry("w3");
+    entry.machine = "m-w1".into();
+    cluster.entries.push(entry);
+    cluster.event(Event::Workers(cluster.entries.clone()));
+    cluster.pass(3 * SECOND);
+    let lasting = Step {
+        lasting: true,
+        ..step(1)
+    };
+    cluster.submit(job("j", vec![lasting]));
+    cluster.pass(SECOND);
+    assert_eq!(cluster.holder("j.0.0.0").as_deref(), Some("w3"));
+    let mut again = wave(&["m-w1"], 1, 60);
+    again.number = 2;
+    cluster.event(Event::Wave(again));
+    cluster.pass(SECOND);
+    assert_eq!(
+        maintained(&cluster),
+        ["m-w1"],
+        "the task would end with its worker"
+    );
+}
+
 /// Filling tasks give way when a task that serves beside them nears its goal.
 #[test]
 fn pace_near_goal() {
