--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -21,6 +21,7 @@
 mod pools;
 mod report;
 mod row;
+mod runs;
 mod spec;
 mod task;
 mod upkeep;
--- a/crates/wigeonhinge/tests/batch_pools.rs
+++ b/crates/wigeonhinge/tests/batch_pools.rs
@@ -40,6 +40,26 @@
     cluster.actions.iter().any(is)
 }
 
+const THREE: [&str; 3] = ["w1", "w2", "w3"];
+
+/// Two lasting tasks of one step at work on two of three workers; one may be away.
+fn lasting_pair() -> Cluster {
+    let lasting = Step {
+        lasting: true,
+        spread: 1,
+        may_miss: Some(1),
+        ..step(2)
+    };
+    let mut cluster = Cluster::open(&THREE);
+    cluster.submit(job("j", vec![lasting]));
+    cluster.store();
+    for node in cluster.nodes.values_mut() {
+        node.runs.values_mut().for_each(|work| work.percent = 100);
+    }
+    cluster.look();
+    cluster
+}
+
 fn maintained(cluster: &Cluster) -> Vec<String> {
     let orders = cluster.actions.iter().filter_map(|action| match action {
         Action::Maintain { machine, .. } => Some(machine.to_string()),
@@ -114,21 +134,8 @@
 /// A lasting task leaves a machine only while its step may miss one more.
 #[test]
 fn wave_absences() {
-    let lasting = Step {
-        lasting: true,
-        spread: 1,
-        may_miss: Some(1),
-        ..step(2)
-    };
-    let workers = ["w1", "w2", "w3"];
-    let mut cluster = Cluster::open(&workers);
-    cluster.submit(job("j", vec![lasting]));
-    cluster.store();
-    for node in cluster.nodes.values_mut() {
-        node.runs.values_mut().for_each(|work| work.percent = 100);
-    }
-    cluster.look();
-    cluster.event(Event::Machines(machines(&workers, 0)));
+    let mut cluster = lasting_pair();
+    cluster.event(Event::Machines(machines(&THREE, 0)));
     cluster.event(Event::Wave(wave(&["m-w1", "m-w2", "m-w3"], 3, 3)));
     cluster.pass(Duration::from_millis(300));
     let stops = cluster.actions.iter();
@@ -140,22 +147,9 @@
 /// one at work would let a second task of its step be stopped.
 #[test]
 fn takeover_counts_predecessors_stops() {
-    let lasting = Step {
-        lasting: true,
-        spread: 1,
-        may_miss: Some(1),
-        ..step(2)
-    };
-    let workers = ["w1", "w2", "w3"];
-    let mut cluster = Cluster::open(&workers);
-    cluster.submit(job("j", vec![lasting]));
-    cluster.store();
-    for node in cluster.nodes.values_mut() {
-        node.runs.values_mut().for_each(|work| work.percent = 100);
-    }
-    cluster.look();
+    let mut cluster = lasting_pair();
     cluster.succeed();
-    cluster.event(Event::Machines(machines(&workers, 0)));
+    cluster.event(Event::Machines(machines(&THREE, 0)));
     let holder = cluster.holder("j.0.0.0").expect("a run");
     let machine = format!("m-{holder}");
     cluster.event(Event::Wave(wave(&[&machine], 3, 3)));
