Take the ports of test entries from below the kernel's range

Cause: a soak of 60 entries failed at its start, 2 entries with 'Address already in use': outgoing connections took ports between their choice and the entry's start.

--- a/crates/daemon/tests/support/entry.rs
+++ b/crates/daemon/tests/support/entry.rs
@@ -7,11 +7,14 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::ops::Range;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -47,9 +50,25 @@
         .expect("a process")
 }
 
+/// Ports below those that the kernel gives to outgoing connections, which would take a
+/// port between its choice and the entry's start.
+const PORTS: Range<u32> = 12_000..32_000;
+
+/// Returns an address that nothing listens on.
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let size = PORTS.end - PORTS.start;
+    loop {
+        // Test processes that run at the same time begin at different places.
+        let place = std::process::id()
+            .wrapping_mul(997)
+            .wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + place % size;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Entry {
