--- a/crates/daemon/src/controllers/jobs.rs
+++ b/crates/daemon/src/controllers/jobs.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use compact_str::format_compact;
 use wigeonhinge::Time;
 use wigeonhinge::audit::Kind;
 use wigeonhinge::audit::Record;
@@ -15,42 +14,36 @@
 use wigeonhinge::lease::Lease;
 use wigeonhinge::ledger::Change;
 use wigeonhinge::ledger::Ledger;
-use wigeonhinge::scheduler;
 use wigeonhinge::scheduler::Action;
-use wigeonhinge::scheduler::Answer;
 use wigeonhinge::scheduler::Command;
 use wigeonhinge::scheduler::Event;
-use wigeonhinge::scheduler::Reply;
-use wigeonhinge::scheduler::Report;
 use wigeonhinge::scheduler::Scheduler;
 use wigeonhinge::scheduler::Task;
-use wigeonhinge::scheduler::TaskReport;
 use wigeonhinge_schema::fleet::Config;
-use wigeonhinge_schema::fleet::Fleet;
-use wigeonhinge_schema::jobs::Size;
 use wigeonhinge_schema::jobs::Snapshot;
 use wigeonhinge_schema::ledger;
-use wigeonhinge_schema::ledger::Phase;
 
 use crate::controllers::Orders;
 use crate::controllers::jobs::recovery::Recovery;
+use crate::controllers::jobs::wire::event;
+use crate::controllers::jobs::wire::job_answer;
+use crate::controllers::jobs::wire::millis;
+use crate::controllers::jobs::wire::order;
+use crate::controllers::jobs::wire::phases;
+use crate::controllers::jobs::wire::region;
+use crate::controllers::jobs::wire::reply;
+use crate::controllers::jobs::wire::report;
 use crate::controllers::unix;
 use crate::controllers::value;
 use crate::plane::Input;
-use crate::plane::JobAnswer;
-use crate::plane::JobAsk;
 use crate::plane::Order;
 use crate::plane::Outcome;
 use crate::plane::RegionView;
 use crate::platform;
-use crate::platform::Start;
 use crate::platform::Swap;
-use crate::platform::TaskAnswer;
-use crate::platform::TaskCommand;
-use crate::platform::TaskReply;
-use crate::platform::TaskState;
 
 mod recovery;
+mod wire;
 
 /// Period of the reports of the pool's workers.
 ///
@@ -418,145 +411,3 @@
 fn position(pool: &str, seq: u64) -> String {
     format!("jobs/{pool}/{seq:012}")
 }
-
-fn event(ticket: u64, ask: JobAsk) -> Event {
-    match ask {
-        JobAsk::Submit(job) => Event::Submit { ticket, job },
-        JobAsk::Cancel(job) => Event::Cancel { ticket, job },
-        JobAsk::Show(job) => Event::Ask { ticket, job },
-    }
-}
-
-fn job_answer(answer: Answer) -> JobAnswer {
-    let (state, reason) = match answer {
-        Answer::Accepted => ("accepted", Default::default()),
-        Answer::Refused(reason) => ("refused", reason),
-        Answer::Running(worker) => ("running", format_compact!("on {worker}")),
-        Answer::Done => ("done", Default::default()),
-        Answer::Failed(reason) => ("failed", reason),
-        Answer::Cancelled => ("cancelled", Default::default()),
-        Answer::Impossible(reason) => ("impossible", reason),
-        Answer::Unknown(reason) => ("unknown", reason),
-    };
-    JobAnswer {
-        state: state.into(),
-        reason,
-    }
-}
-
-fn phases(
-    fleet: &Fleet,
-    pool: &str,
-    regions: &BTreeMap<RegionId, RegionView>,
-) -> BTreeMap<VmId, Phase> {
-    let phase = |name: &str| match regions.values().any(|view| view.inactive.contains(name)) {
-        true => Phase::Cordoned,
-        false => Phase::Active,
-    };
-    fleet
-        .inventory
-        .iter()
-        .filter(|vm| vm.pool == pool)
-        .map(|vm| (VmId::from(&vm.name), phase(&vm.name)))
-        .collect()
-}
-
-fn region<'a>(fleet: &'a Fleet, worker: &str) -> Option<&'a str> {
-    let vm = fleet.inventory.iter().find(|vm| vm.name == worker)?;
-    let zones = &fleet.rules.as_ref()?.zones;
-    let zone = zones.iter().find(|zone| zone.name == vm.zone)?;
-    Some(&zone.region)
-}
-
-fn order(worker: &VmId, task: &Task, command: Command) -> Order {
-    let id = task.to_string();
-    let command = match command {
-        Command::Start {
-            size,
-            resume,
-            ttl,
-            incarnation,
-        } => {
-            return Order::Start(worker.clone(), start(&id, size, resume, (ttl, incarnation)));
-        }
-        Command::Renew => TaskCommand::Renew {
-            lease_ms: millis(scheduler::TASK_TTL),
-        },
-        Command::Checkpoint => TaskCommand::Checkpoint,
-        Command::Throttle { percent } => TaskCommand::Throttle { percent },
-        Command::Stop => TaskCommand::Stop,
-    };
-    Order::Task(worker.clone(), id, command)
-}
-
-/// Returns the start of a task; the sender fills in role and fence.
-fn start(id: &str, size: Size, resume: bool, (ttl, boot): (Time, u64)) -> Start {
-    Start {
-        id: id.into(),
-        role: Default::default(),
-        fence: 0,
-        boot,
-        lease_ms: millis(ttl),
-        millicores: size.millicores,
-        memory_mb: size.memory_mb,
-        accelerators: size.accelerators,
-        resume,
-    }
-}
-
-fn millis(time: Time) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// Returns the boot number of a worker and its answer; 0 without an answer.
-fn reply(outcome: Option<Outcome>) -> (u64, Reply) {
-    match outcome {
-        Some(Outcome::Task(TaskReply::Answer(answer))) => (answer.boot, answered(answer)),
-        Some(Outcome::Task(TaskReply::Absent)) => (0, Reply::Absent),
-        Some(Outcome::Task(TaskReply::Fenced(_))) => (0, Reply::Fenced),
-        _ => (0, Reply::Lost),
-    }
-}
-
-fn answered(answer: TaskAnswer) -> Reply {
-    match answer.state {
-        TaskState::Running => Reply::Running,
-        TaskState::Done => Reply::Done,
-        TaskState::Failed if answer.ran => Reply::Failed("the task failed".into()),
-        TaskState::Failed => Reply::StartFailed("the worker could not start the task".into()),
-        TaskState::Stopped | TaskState::Refused => Reply::Stopped { ran: answer.ran },
-    }
-}
-
-fn report(worker: &platform::Worker) -> Report {
-    // A refused start says nothing of the attempt that the worker was asked for.
-    let task = |task: &platform::Task| {
-        let state = match task.state {
-            TaskState::Running => scheduler::TaskState::Running,
-            TaskState::Done => scheduler::TaskState::Done,
-            TaskState::Failed => scheduler::TaskState::Failed("the task failed".into()),
-            TaskState::Stopped => scheduler::TaskState::Stopped,
-            TaskState::Refused => return None,
-        };
-        let usage = task.usage.map_or(Size::default(), |usage| Size {
-            millicores: usage.millicores,
-            memory_mb: usage.memory_mb,
-            accelerators: 0,
-        });
-        Some(TaskReport {
-            task: Task::parse(&task.id)?,
-            state,
-            peak: usage,
-        })
-    };
-    Report {
-        worker: worker.vm.clone(),
-        incarnation: worker.boot,
-        tasks: worker
-            .tasks
-            .iter()
-            .filter(|task| task.ran)
-            .filter_map(task)
-            .collect(),
-    }
-}
--- a/crates/daemon/src/plane/core.rs
+++ b/crates/daemon/src/plane/core.rs
@@ -4,7 +4,6 @@
 use std::net::TcpListener;
 use std::net::UdpSocket;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -12,25 +11,20 @@
 use bytes::Bytes;
 use compio::time::sleep_until;
 use eyre::Result;
-use eyre::WrapErr;
 use futures_util::FutureExt;
-use serde_json::Value;
 use slog::Logger;
 use slog::info;
 use slog::warn;
 use wigeonhinge::Time;
 use wigeonhinge::audit::Kind;
 use wigeonhinge::audit::Record;
-use wigeonhinge::config;
 use wigeonhinge::config::Adopter;
-use wigeonhinge::config::Offer;
 use wigeonhinge::id::EntryId;
 use wigeonhinge::id::Fence;
 use wigeonhinge::id::VmId;
 use wigeonhinge::membership;
 use wigeonhinge::membership::Change;
 use wigeonhinge::membership::Membership;
-use wigeonhinge_schema::fleet::Config;
 use wigeonhinge_schema::peer;
 use wigeonhinge_schema::peer::envelope::Body;
 use wigeonhinge_schema::settings::Settings;
@@ -60,14 +54,15 @@
 use crate::plane::outlet::Outlet;
 use crate::plane::spread::Spread;
 use crate::plane::trail::Trail;
-use crate::platform::Document;
 use crate::platform::HttpPlatform;
 use crate::platform::Platform;
 use crate::platform::Version;
 use crate::watch;
 use crate::watch::Watch;
 
+mod documents;
 mod jobs;
+mod reload;
 mod report;
 mod talk;
 
@@ -436,64 +431,6 @@
         }
     }
 
-    /// Reads a configuration from the store.
-    ///
-    /// One that cannot be read is not asked for again until its version changes.
-    fn read(&mut self, document: Document<Value>) {
-        match serde_json::from_value::<Config>(document.value) {
-            Ok(value) => self.offer(Document {
-                key: document.key,
-                version: document.version,
-                value,
-            }),
-            Err(error) => {
-                self.counters.faults += 1;
-                self.watch.seen(document.version);
-                warn!(self.log, "watch: unreadable configuration";
-                    "version" => document.version, "error" => %error);
-            }
-        }
-    }
-
-    /// Offers a configuration for adoption, from the store or from a peer.
-    fn offer(&mut self, document: Document<Config>) {
-        let Document { version, value, .. } = document;
-        self.watch.seen(version);
-        match self.adopter.offer(value) {
-            Offer::Adopted(config) => {
-                self.counters.adopted += 1;
-                info!(self.log, "watch: configuration adopted"; "revision" => config.revision);
-                self.document = None;
-                self.control.want(roles(&config));
-                self.outlet.send(Message::Adopt(Arc::clone(&config)));
-                self.keep(version, &config);
-                self.send_beat();
-                for role in self.duties.roles() {
-                    self.drive(&role, Input::Adopted(Arc::clone(&config)));
-                }
-            }
-            Offer::Fault { ours, theirs } => {
-                self.counters.faults += 1;
-                warn!(self.log, "watch: two edits made one revision";
-                    "ours" => %ours, "theirs" => %theirs);
-            }
-            Offer::Current | Offer::Older => {}
-        }
-    }
-
-    /// Keeps the message that peers get when they pull.
-    fn keep(&mut self, version: Version, config: &Config) {
-        if let Ok(value) = serde_json::to_vec(config) {
-            let push = peer::Push {
-                key: config::KEY.to_owned(),
-                version,
-                value,
-            };
-            let own = &self.control.own().entry;
-            self.document = Some((version, encode(own, Body::Push(push))));
-        }
-    }
-
     fn command(&mut self, command: Command) {
         match command {
             Command::Drain => {
@@ -520,32 +457,6 @@
         self.peers.close();
         compio::time::sleep(FAREWELL).await;
     }
-
-    /// Takes over what may change without a restart: keys, fingerprints, peers.
-    fn reload(&mut self) {
-        let Some(file) = &self.file else {
-            return;
-        };
-        match read(file) {
-            Ok(fresh) if fresh != self.settings => {
-                let rekeyed = fresh.identity != self.settings.identity;
-                match self.peers.reload(&fresh, rekeyed) {
-                    Ok(()) => {
-                        info!(self.log, "peer: settings reloaded"; "rekeyed" => rekeyed);
-                        self.spread.fix(&fresh.peers);
-                        self.settings = fresh;
-                    }
-                    Err(error) => {
-                        warn!(self.log, "peer: bad settings"; "error" => format!("{error:#}"));
-                    }
-                }
-            }
-            Ok(_) => {}
-            Err(error) => {
-                warn!(self.log, "peer: unreadable settings"; "error" => format!("{error:#}"));
-            }
-        }
-    }
 }
 
 impl Inbox {
@@ -563,33 +474,6 @@
     }
 }
 
-/// Returns the roles that a configuration calls for.
-fn roles(config: &Config) -> BTreeSet<Name> {
-    let rules = config.fleet.iter().filter_map(|fleet| fleet.rules.as_ref());
-    let mut roles = BTreeSet::new();
-    for rules in rules {
-        roles.extend(
-            rules
-                .zones
-                .iter()
-                .map(|zone| format!("fleet/{}", zone.region).into()),
-        );
-        roles.extend(
-            rules
-                .pools
-                .iter()
-                .map(|pool| format!("jobs/{}", pool.name).into()),
-        );
-    }
-    roles
-}
-
-fn read(file: &PathBuf) -> Result<Settings> {
-    let text = std::fs::read_to_string(file).wrap_err_with(|| file.display().to_string())?;
-    let options = jsonc_parser::ParseOptions::default();
-    jsonc_parser::parse_to_serde_value(&text, &options).wrap_err("settings")
-}
-
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     since.map_or(0, |since| since.as_millis() as u64)
--- /dev/null
+++ b/crates/daemon/src/plane/core/reload.rs
@@ -0,0 +1,45 @@
+//! Settings that change while the entry runs.
+
+use std::path::PathBuf;
+
+use eyre::Result;
+use eyre::WrapErr;
+use slog::info;
+use slog::warn;
+use wigeonhinge_schema::settings::Settings;
+
+use crate::plane::core::Core;
+
+impl Core {
+    /// Takes over what may change without a restart: keys, fingerprints, peers.
+    pub(super) fn reload(&mut self) {
+        let Some(file) = &self.file else {
+            return;
+        };
+        match read(file) {
+            Ok(fresh) if fresh != self.settings => {
+                let rekeyed = fresh.identity != self.settings.identity;
+                match self.peers.reload(&fresh, rekeyed) {
+                    Ok(()) => {
+                        info!(self.log, "peer: settings reloaded"; "rekeyed" => rekeyed);
+                        self.spread.fix(&fresh.peers);
+                        self.settings = fresh;
+                    }
+                    Err(error) => {
+                        warn!(self.log, "peer: bad settings"; "error" => format!("{error:#}"));
+                    }
+                }
+            }
+            Ok(_) => {}
+            Err(error) => {
+                warn!(self.log, "peer: unreadable settings"; "error" => format!("{error:#}"));
+            }
+        }
+    }
+}
+
+fn read(file: &PathBuf) -> Result<Settings> {
+    let text = std::fs::read_to_string(file).wrap_err_with(|| file.display().to_string())?;
+    let options = jsonc_parser::ParseOptions::default();
+    jsonc_parser::parse_to_serde_value(&text, &options).wrap_err("settings")
+}
--- a/crates/standin/src/region.rs
+++ b/crates/standin/src/region.rs
@@ -1,10 +1,12 @@
 //! In-process store, workers and VM list around fleet controllers, with an oracle.
 
+mod fleet;
+mod machine;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use wigeonhinge::controller::Action;
 use wigeonhinge::controller::Controller;
 use wigeonhinge::controller::Input;
 use wigeonhinge::controller::ListState;
@@ -20,12 +22,10 @@
 use wigeonhinge::ledger::Ledger;
 use wigeonhinge::ledger::WaveChange;
 use wigeonhinge_schema::fleet::Fleet;
-use wigeonhinge_schema::fleet::Pool;
-use wigeonhinge_schema::fleet::Rules;
-use wigeonhinge_schema::fleet::Vm;
-use wigeonhinge_schema::fleet::Zone;
 use wigeonhinge_schema::ledger::Phase;
 
+pub use crate::region::fleet::fleet;
+
 const BOOT: Duration = Duration::from_secs(60);
 /// Delay of the copy that the network delivers of every order.
 const LATE: Duration = Duration::from_secs(90);
@@ -112,56 +112,6 @@
     pub audit: BTreeSet<String>,
 }
 
-/// Returns a fleet of three pools in three zones; each rack holds VMs of several pools.
-pub fn fleet() -> Fleet {
-    let zones = ["a", "b", "c"].map(|name| Zone {
-        name: name.into(),
-        region: "north".into(),
-    });
-    let pools = [
-        ("crews", 8, 2, 6, false),
-        ("quoting", 8, 2, 6, false),
-        ("spare", 8, 2, 2, true),
-    ];
-    let mut inventory = Vec::new();
-    let rules = Rules {
-        zones: zones.to_vec(),
-        pools: pools.map(pool).to_vec(),
-        ..Rules::default()
-    };
-    for (name, size, ..) in pools {
-        for number in 0..size {
-            inventory.push(vm(name, number, inventory.len()));
-        }
-    }
-    Fleet {
-        rules: Some(rules),
-        inventory,
-        upstreams: Vec::new(),
-    }
-}
-
-fn pool((name, _, budget, promised, spare): (&str, usize, u32, u32, bool)) -> Pool {
-    Pool {
-        name: name.into(),
-        max_unavailable: budget,
-        promised,
-        spare,
-        ..Pool::default()
-    }
-}
-
-fn vm(pool: &str, number: usize, rack: usize) -> Vm {
-    Vm {
-        name: format!("{pool}-{number}"),
-        pool: pool.into(),
-        zone: ["a", "b", "c"][rack % 3].into(),
-        rack: format!("r{}", rack % 6),
-        cores: 16,
-        ..Vm::default()
-    }
-}
-
 impl Region {
     /// Returns a region whose VMs are all active under one controller, seat 0 with fence 1.
     pub fn small() -> Self {
@@ -517,37 +467,6 @@
     }
 }
 
-impl Machine {
-    fn tick(&mut self, now: Time) {
-        self.report.tasks = u32::from(self.stuck);
-        if self.booted.is_some_and(|end| end <= now) && !self.lost {
-            self.booted = None;
-            self.report.boot += 1;
-            self.report.step = 0;
-            self.report.cordoned = false;
-            self.report.healthy = !self.broken || self.late;
-            return;
-        }
-        self.report.healthy = !(self.broken && self.report.boot > 0);
-    }
-
-    /// Follows an order unless a later one was seen; a reboot clears what the worker remembers.
-    pub fn obey(&mut self, order: &Order, now: Time) {
-        let late = order.fence < self.fence || order.step < self.report.step;
-        if self.lost || self.booted.is_some() || late {
-            return;
-        }
-        self.fence = order.fence;
-        self.report.step = order.step;
-        match order.action {
-            Action::Cordon => self.report.cordoned = true,
-            Action::Uncordon => self.report.cordoned = false,
-            Action::Reboot => self.booted = Some(now + BOOT),
-            Action::Drain => {}
-        }
-    }
-}
-
 fn seat(entry: &str, fence: Option<u64>) -> Seat {
     Seat {
         controller: Controller::new("north", entry, Timing::default()),
--- a/crates/wigeonhinge/src/place.rs
+++ b/crates/wigeonhinge/src/place.rs
@@ -4,6 +4,7 @@
 mod cap;
 mod choose;
 mod health;
+mod held;
 mod tree;
 
 use std::cmp::Reverse;
@@ -26,6 +27,7 @@
 use crate::id::JobId;
 use crate::id::Time;
 use crate::id::VmId;
+use crate::place::held::kept;
 use crate::place::tree::Offer;
 use crate::place::tree::Tree;
 
@@ -404,71 +406,6 @@
     }
 }
 
-impl Worker {
-    fn new(vm: &Vm) -> Self {
-        Self {
-            name: VmId::from(&vm.name),
-            zone: vm.zone.clone(),
-            rack: vm.rack.clone(),
-            total: Cap {
-                cpu: i32::try_from(vm.cores.saturating_mul(1_000)).unwrap_or(i32::MAX),
-                mem: i32::try_from(vm.memory_mb).unwrap_or(i32::MAX),
-                acc: i32::try_from(vm.accelerators).unwrap_or(i32::MAX),
-            },
-            used: Cap::default(),
-            usable: false,
-            jobs: BTreeSet::new(),
-        }
-    }
-
-    fn order(&self) -> (bool, &str, &str, &str) {
-        (self.total.acc > 0, &self.zone, &self.rack, &self.name)
-    }
-
-    fn domain(&self) -> (&str, &str) {
-        (&self.zone, &self.rack)
-    }
-
-    fn within(&self, zone: &str) -> bool {
-        zone.is_empty() || self.zone == zone
-    }
-}
-
-impl Held {
-    /// What the task takes from its worker.
-    fn holds(&self) -> Cap {
-        if self.leaving {
-            return Cap::default();
-        }
-        if self.throttled {
-            let cpu = kept(self.size.cpu);
-            return Cap { cpu, ..self.size };
-        }
-        self.size
-    }
-
-    /// What a preemption of the task frees.
-    fn gives(&self) -> Cap {
-        if self.leaving || !self.running {
-            return Cap::default();
-        }
-        if self.movable {
-            return self.holds();
-        }
-        let cpu = self.holds().cpu - kept(self.size.cpu);
-        Cap {
-            cpu,
-            ..Cap::default()
-        }
-    }
-}
-
-/// Processors that a throttled task of this size keeps.
-fn kept(cpu: i32) -> i32 {
-    let percent = i32::try_from(THROTTLED).unwrap_or(i32::MAX);
-    cpu / 100 * percent + cpu % 100 * percent / 100
-}
-
 fn zones(workers: &[Worker]) -> Vec<Zone> {
     let mut zones: Vec<Zone> = Vec::new();
     for (at, worker) in workers.iter().enumerate() {
--- a/crates/wigeonhinge/src/place/choose.rs
+++ b/crates/wigeonhinge/src/place/choose.rs
@@ -11,7 +11,7 @@
 use crate::place::Placer;
 use crate::place::Zone;
 use crate::place::cap::Cap;
-use crate::place::kept;
+use crate::place::held::kept;
 use crate::place::level;
 use crate::place::tree::LEVELS;
 use crate::place::tree::Want;
--- a/crates/wigeonhinge/tests/explore.rs
+++ b/crates/wigeonhinge/tests/explore.rs
@@ -4,6 +4,9 @@
 //! store with CAS, two workers, and a network that delays, reorders and loses
 //! answers. The job is not idempotent: it must begin to run once at most.
 
+#[path = "explore/fixture.rs"]
+mod fixture;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::hash::DefaultHasher;
@@ -21,14 +24,16 @@
 use wigeonhinge::scheduler::Entry;
 use wigeonhinge::scheduler::Event;
 use wigeonhinge::scheduler::Reply;
-use wigeonhinge::scheduler::Report;
 use wigeonhinge::scheduler::Scheduler;
 use wigeonhinge::scheduler::Task;
-use wigeonhinge_schema::fleet::Fleet;
-use wigeonhinge_schema::fleet::Vm;
-use wigeonhinge_schema::jobs::Job;
 use wigeonhinge_schema::jobs::Size;
-use wigeonhinge_schema::ledger::Phase;
+
+use crate::fixture::fleet;
+use crate::fixture::job;
+use crate::fixture::lease;
+use crate::fixture::lost;
+use crate::fixture::phases;
+use crate::fixture::reports;
 
 /// Guards of the protocol that a variant removes.
 #[derive(Clone, Copy, Debug, Default)]
@@ -484,71 +489,3 @@
     }
     explored
 }
-
-fn lost(event: &Event) -> Event {
-    match event {
-        Event::Reply {
-            worker,
-            task,
-            command,
-            ..
-        } => Event::Reply {
-            worker: worker.clone(),
-            task: task.clone(),
-            command: *command,
-            incarnation: 0,
-            reply: Reply::Lost,
-        },
-        _ => Event::Unavailable,
-    }
-}
-
-fn lease(fence: u64) -> Event {
-    Event::Lease {
-        fence,
-        until: Duration::from_secs(1_000_000),
-    }
-}
-
-fn job() -> Job {
-    Job {
-        id: "pay".into(),
-        priority: 0,
-        size: Some(Size {
-            millicores: 1_000,
-            memory_mb: 1_024,
-            accelerators: 0,
-        }),
-        idempotent: false,
-        ..Job::default()
-    }
-}
-
-fn fleet() -> Fleet {
-    let vm = |name: &str| Vm {
-        name: name.into(),
-        pool: "crews".into(),
-        zone: "zone".into(),
-        rack: name.into(),
-        cores: 4,
-        memory_mb: 8_192,
-        accelerators: 0,
-    };
-    Fleet {
-        inventory: vec![vm("w0"), vm("w1")],
-        ..Fleet::default()
-    }
-}
-
-fn phases(active: &str) -> Event {
-    Event::Phases([(active.into(), Phase::Active)].into())
-}
-
-fn reports() -> Vec<Report> {
-    let report = |name: &str| Report {
-        worker: name.into(),
-        incarnation: 1,
-        tasks: Vec::new(),
-    };
-    vec![report("w0"), report("w1")]
-}
--- a/crates/wigeonhinge/tests/fleet_exploration.rs
+++ b/crates/wigeonhinge/tests/fleet_exploration.rs
@@ -3,6 +3,11 @@
 //! The transitions are those that ship; this file only wires them to a store, a network and
 //! workers. Each property is also shown to fail when one guard is removed.
 
+#[path = "fleet_exploration/host.rs"]
+mod host;
+#[path = "fleet_exploration/writes.rs"]
+mod writes;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::hash::Hash;
@@ -12,7 +17,6 @@
 
 use pathfinding::directed::bfs::bfs;
 use rstest::rstest;
-use wigeonhinge::controller::Action;
 use wigeonhinge::controller::Controller;
 use wigeonhinge::controller::Input;
 use wigeonhinge::controller::ListState;
@@ -30,6 +34,9 @@
 use wigeonhinge_schema::ledger::Phase;
 use wigeonhinge_standin::region;
 
+use crate::writes::check;
+use crate::writes::merge;
+
 const NOW: Time = Duration::from_secs(9000);
 const VMS: [&str; 3] = ["crews-0", "crews-1", "spare-0"];
 
@@ -407,77 +414,6 @@
     }
 }
 
-impl Host {
-    fn new(step: u64) -> Self {
-        let (fence, boot) = (0, 0);
-        let (cordoned, rebooting, failed) = (false, false, false);
-        Self {
-            fence,
-            step,
-            boot,
-            cordoned,
-            rebooting,
-            failed,
-        }
-    }
-
-    fn obey(&mut self, order: &Order, without: Without) {
-        let older = order.step < self.step && without != Without::Step;
-        if self.failed || self.rebooting || order.fence < self.fence || older {
-            return;
-        }
-        self.fence = order.fence;
-        self.step = order.step;
-        match order.action {
-            Action::Cordon => self.cordoned = true,
-            Action::Uncordon => self.cordoned = false,
-            Action::Reboot => self.rebooting = self.boot < MAX_BOOTS,
-            Action::Drain => {}
-        }
-    }
-}
-
-/// Applies what a proposal changes to a later value, as a key for each VM would.
-fn merge(current: &Ledger, before: &Ledger, proposal: &Ledger) -> Ledger {
-    let mut doc = current.document().clone();
-    for vm in &mut doc.vms {
-        let proposed = proposal.vm(&vm.name);
-        if before.vm(&vm.name) != proposed {
-            vm.clone_from(proposed.expect("VM"));
-        }
-    }
-    Ledger::from_document(doc)
-}
-
-/// Compares a write with the value it replaces; returns the property that it breaks.
-fn check(before: &Ledger, after: &Ledger, fence: Option<u64>) -> Option<&'static str> {
-    if fence < Some(before.document().fence) {
-        return Some("deposed holder wrote");
-    }
-    for vm in before.vms() {
-        let now = after.vm(&vm.name);
-        let stays = now.is_some_and(|now| now.pool == vm.pool);
-        let moved = vm.phase() == Phase::Moving && now.is_some_and(|now| now.pool == vm.target);
-        if !stays && !moved {
-            return Some("pool changed without a move");
-        }
-    }
-    for (pool, count) in after.counts() {
-        let members = after.vms().iter().filter(|vm| vm.pool == pool.as_str());
-        let taken = members.into_iter().any(|vm| {
-            let active = before
-                .vm(&vm.name)
-                .is_some_and(|vm| vm.phase() == Phase::Active);
-            active && vm.phase() == Phase::Cordoned
-        });
-        let kept = count.active >= count.promised && count.unavailable() <= count.max_unavailable;
-        if taken && !kept {
-            return Some("budget broken by choice");
-        }
-    }
-    None
-}
-
 /// Failures of every kind over the first steps of a wave.
 const WAVE: Bounds = Bounds {
     writes: 5,
--- /dev/null
+++ b/crates/wigeonhinge/tests/fleet_exploration/writes.rs
@@ -0,0 +1,45 @@
+//! Writes of the ledger: how a proposal is merged, and what a write may break.
+
+use wigeonhinge::ledger::Ledger;
+use wigeonhinge_schema::ledger::Phase;
+
+/// Applies what a proposal changes to a later value, as a key for each VM would.
+pub(super) fn merge(current: &Ledger, before: &Ledger, proposal: &Ledger) -> Ledger {
+    let mut doc = current.document().clone();
+    for vm in &mut doc.vms {
+        let proposed = proposal.vm(&vm.name);
+        if before.vm(&vm.name) != proposed {
+            vm.clone_from(proposed.expect("VM"));
+        }
+    }
+    Ledger::from_document(doc)
+}
+
+/// Compares a write with the value it replaces; returns the property that it breaks.
+pub(super) fn check(before: &Ledger, after: &Ledger, fence: Option<u64>) -> Option<&'static str> {
+    if fence < Some(before.document().fence) {
+        return Some("deposed holder wrote");
+    }
+    for vm in before.vms() {
+        let now = after.vm(&vm.name);
+        let stays = now.is_some_and(|now| now.pool == vm.pool);
+        let moved = vm.phase() == Phase::Moving && now.is_some_and(|now| now.pool == vm.target);
+        if !stays && !moved {
+            return Some("pool changed without a move");
+        }
+    }
+    for (pool, count) in after.counts() {
+        let members = after.vms().iter().filter(|vm| vm.pool == pool.as_str());
+        let taken = members.into_iter().any(|vm| {
+            let active = before
+                .vm(&vm.name)
+                .is_some_and(|vm| vm.phase() == Phase::Active);
+            active && vm.phase() == Phase::Cordoned
+        });
+        let kept = count.active >= count.promised && count.unavailable() <= count.max_unavailable;
+        if taken && !kept {
+            return Some("budget broken by choice");
+        }
+    }
+    None
+}
