--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -395,11 +395,18 @@
     fn record_order(&mut self, machine: VmId, order: machines::Order) {
         let now = clock::now();
         self.ordered.record(machine.clone(), now);
-        self.unrecorded.push((machine, order));
         let row = self.ordered.row(bounds(&self.shared).order_lease, now);
         match serde_json::to_vec(&row) {
-            Ok(value) => self.extra(keys::ORDERS.to_owned(), value),
-            Err(error) => warn!(self.shared.log, "machines: row"; "error" => %error),
+            Ok(value) => {
+                self.unrecorded.push((machine, order));
+                self.extra(keys::ORDERS.to_owned(), value);
+            }
+            Err(error) => {
+                // An order without its record must not be given.
+                warn!(self.shared.log, "machines: orders cannot be recorded"; "error" => %error,
+                    "machine" => %machine);
+                self.handle(Event::Ordered(machine, false));
+            }
         }
     }
 
--- a/crates/wigeonhinge/src/batch/event.rs
+++ b/crates/wigeonhinge/src/batch/event.rs
@@ -144,13 +144,6 @@
     pub recorded: bool,
 }
 
-impl Write {
-    /// Returns whether the job has ended.
-    pub fn terminal(&self) -> bool {
-        self.state.as_ref().is_some_and(|row| row.phase.terminal())
-    }
-}
-
 /// Standing of a pool.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PoolSummary {
