--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -327,6 +327,7 @@
         if let Some(catalog) = catalog.filter(|it| it.version > self.catalog_version) {
             self.catalog_version = catalog.version;
             self.apply(Event::Configure((*catalog).clone()));
+            self.connect_all();
         }
         self.apply(Event::Tick);
         self.ticks += 1;
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -22,12 +22,14 @@
 mod maintenance;
 mod pace;
 mod place;
+mod ready;
 mod report;
 mod row;
 mod runs;
 mod spec;
 mod task;
 mod worker;
+mod workers;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -44,9 +46,10 @@
 use crate::batch::balance::DemandHistory;
 use crate::batch::demand::Demand;
 use crate::batch::job::Job;
-use crate::batch::job::Rank;
 use crate::batch::maintenance::MaintenanceWaves;
+use crate::batch::ready::ReadyQueue;
 use crate::batch::worker::Worker;
+use crate::batch::workers::Workers;
 
 pub use crate::batch::catalog::Catalog;
 pub use crate::batch::catalog::PoolRule;
@@ -125,15 +128,20 @@
     bounds: Bounds,
     catalog: Catalog,
     jobs: BTreeMap<JobId, Job>,
+    /// Jobs with several occurrences.
+    repeated_jobs: BTreeSet<JobId>,
+    /// When to check next whether a job can still meet its objective, as Unix time in
+    /// milliseconds.
+    late_checks: BTreeSet<(i64, JobId)>,
     /// Jobs with changes that no taken write includes yet, in the order of their first change.
     changed_jobs: VecDeque<JobId>,
     /// Tasks that are ready to start, by pool.
-    ready: BTreeMap<PoolId, BTreeSet<Rank>>,
+    ready: BTreeMap<PoolId, ReadyQueue>,
     /// Pools in which a ready task may fit since the last placement pass.
     dirty_pools: BTreeSet<PoolId>,
     /// Workers that get no other tasks until a long-running task fits on them.
     reservations: BTreeMap<TaskId, WorkerId>,
-    workers: BTreeMap<WorkerId, Worker>,
+    workers: Workers,
     demand: Demand,
     demand_history: DemandHistory,
     maintenance: MaintenanceWaves,
@@ -163,11 +171,13 @@
             bounds,
             catalog,
             jobs: BTreeMap::new(),
+            repeated_jobs: BTreeSet::new(),
+            late_checks: BTreeSet::new(),
             changed_jobs: VecDeque::new(),
             ready: BTreeMap::new(),
             dirty_pools: BTreeSet::new(),
             reservations: BTreeMap::new(),
-            workers: BTreeMap::new(),
+            workers: Workers::default(),
             demand: Demand::default(),
             demand_history: DemandHistory::default(),
             maintenance: MaintenanceWaves::default(),
@@ -224,7 +234,9 @@
             Event::Configure(catalog) => self.configure(catalog, now),
             Event::Accept(row) => self.accept(row, None, now),
             Event::Cancel(job) => self.cancel(&job, now),
-            Event::Workers(entries) => self.update_workers(entries, now),
+            Event::Workers(entries) => self.replace_workers(entries, now),
+            Event::WorkerRegistered(entry) => self.register_worker(entry, now),
+            Event::WorkerRemoved(id) => self.worker_unregistered(&id, now),
             Event::Report(worker, report) => self.apply_report(&worker, report, now),
             Event::LeaseExtended(worker) => self.lease_extended(&worker, now),
             Event::StartAnswered(worker, task, run, reply) => {
@@ -294,7 +306,8 @@
         };
         let expected = self.workers.values().filter(|worker| {
             let new = now.saturating_sub(worker.registered_at) < CONTACT_TIMEOUT;
-            !worker.unregistered && !worker.replaced && !new && !leaving(worker)
+            let gone = worker.unregistered || worker.replaced || leaving(worker);
+            !gone && !new && !self.is_parked(worker)
         });
         let responsive =
             |worker: &&Worker| now.saturating_sub(worker.reported_at) < CONTACT_TIMEOUT;
@@ -304,10 +317,19 @@
         )
     }
 
-    /// Returns whether a worker is registered or may still have runs, and its machine has not
-    /// been given to another worker.
-    pub fn has_active_worker(&self, worker: &str) -> bool {
-        self.workers.get(worker).is_some_and(|it| !it.replaced)
+    /// Returns whether a worker has to be polled: it is registered or may still have runs, and its
+    /// machine has not been given to another worker.
+    ///
+    /// Workers without runs in a standby pool that no queue uses are not polled: their machines are
+    /// switched off, and they never get tasks.
+    pub fn expects_reports(&self, worker: &str) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|it| !it.replaced && !self.is_parked(it))
+    }
+
+    fn is_parked(&self, worker: &Worker) -> bool {
+        let pool = &worker.entry.pool;
+        worker.runs.is_empty() && self.catalog.is_standby(pool) && !self.catalog.has_queue(pool)
     }
 
     /// Returns workers, load and waiting tasks of each pool, for operators.
@@ -337,34 +359,44 @@
         }
     }
 
-    fn update_workers(&mut self, entries: Vec<WorkerEntry>, now: Time) {
-        let lease = WORKER_LEASE.mul_f64(1.0 + MAX_CLOCK_DRIFT) + CONTACT_TIMEOUT;
-        let mut listed = BTreeSet::new();
+    /// Applies the complete list of registered workers.
+    fn replace_workers(&mut self, entries: Vec<WorkerEntry>, now: Time) {
+        let listed: BTreeSet<WorkerId> = entries.iter().map(|it| it.id.clone()).collect();
         for entry in entries {
-            listed.insert(entry.id.clone());
-            match self.workers.get_mut(&entry.id) {
-                Some(worker) => worker.update(entry),
-                None => {
-                    let id = entry.id.clone();
-                    self.workers
-                        .insert(id, Worker::new(entry, now, now + lease));
-                }
-            }
+            self.register_worker(entry, now);
+        }
+        let absent = self.workers.select(|worker| !worker.unregistered);
+        for id in absent.iter().filter(|id| !listed.contains(*id)) {
+            self.worker_unregistered(id, now);
         }
-        for (id, worker) in &mut self.workers {
-            let absent = !listed.contains(id);
-            if absent && !worker.unregistered {
-                worker.unregistered_since = now;
+    }
+
+    fn register_worker(&mut self, entry: WorkerEntry, now: Time) {
+        match self.workers.get_mut(&entry.id) {
+            Some(worker) => worker.update(entry),
+            None => {
+                let lease = WORKER_LEASE.mul_f64(1.0 + MAX_CLOCK_DRIFT) + CONTACT_TIMEOUT;
+                let id = entry.id.clone();
+                self.workers
+                    .insert(id, Worker::new(entry, now, now + lease));
             }
-            worker.unregistered = absent;
         }
-        self.remove_absent(now);
+    }
+
+    fn worker_unregistered(&mut self, id: &WorkerId, now: Time) {
+        if let Some(worker) = self.workers.get_mut(id)
+            && !std::mem::replace(&mut worker.unregistered, true)
+        {
+            worker.unregistered_since = now;
+        }
     }
 
     /// Removes workers that left the registry and have no runs.
     fn remove_absent(&mut self, now: Time) {
-        let kept = |worker: &Worker| !worker.deregistered(now) || !worker.runs.is_empty();
-        self.workers.retain(|_, worker| kept(worker));
+        let absent = |worker: &Worker| worker.deregistered(now) && worker.runs.is_empty();
+        for id in self.workers.select(absent) {
+            self.workers.remove(&id);
+        }
     }
 
     fn lease_extended(&mut self, worker: &WorkerId, now: Time) {
--- a/crates/wigeonhinge/src/batch/balance.rs
+++ b/crates/wigeonhinge/src/batch/balance.rs
@@ -1,12 +1,14 @@
 //! Assignment of machines to pools by demand, weighed against the cost of moves.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::batch::Batch;
 use crate::batch::MachineState;
 use crate::batch::machines::Order;
+use crate::batch::worker::RunState;
 use crate::batch::worker::Worker;
 use crate::id::PoolId;
 use crate::id::Time;
@@ -63,6 +65,15 @@
     supply: usize,
 }
 
+/// Machine that may move, by the cost of its move.
+#[derive(Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Candidate {
+    cost: u64,
+    machine: VmId,
+    /// Index of its pool among the balances; `None` for a standby pool.
+    source: Option<usize>,
+}
+
 impl PoolBalance {
     fn shortage(&self) -> usize {
         self.required.saturating_sub(self.supply)
@@ -77,21 +88,34 @@
         }
         let mut balances = self.pool_balances(now);
         self.advance_moves(&mut balances, now);
-        while let Some(index) = largest_shortage(&balances) {
-            let pool = balances[index].pool.clone();
-            let Some((machine, source)) = self.cheapest_machine(&balances, now) else {
-                break;
+        self.fill_shortages(&mut balances, now);
+        self.release_idle(&mut balances, now);
+    }
+
+    /// Plans moves to pools with a shortage, to the largest one first.
+    fn fill_shortages(&mut self, balances: &mut [PoolBalance], now: Time) {
+        if largest_shortage(balances).is_none() {
+            return;
+        }
+        let mut candidates = self.movable_machines(balances, now).into_iter();
+        while let Some(index) = largest_shortage(balances) {
+            let spare = |source: Option<usize>| {
+                source.is_none_or(|it| balances[it].supply > balances[it].required)
             };
+            let Some(candidate) = candidates.find(|it| spare(it.source)) else {
+                return;
+            };
+            let pool = balances[index].pool.clone();
             balances[index].supply += 1;
-            if let Some(source) = source {
+            if let Some(source) = candidate.source {
                 balances[source].supply -= 1;
             }
-            self.plan_move(&machine, pool, now);
+            self.plan_move(&candidate.machine, pool, now);
         }
-        self.release_idle(&mut balances, now);
     }
 
     fn pool_balances(&mut self, now: Time) -> Vec<PoolBalance> {
+        self.workers.refresh();
         let pools: Vec<PoolId> = self
             .catalog
             .pools
@@ -99,11 +123,14 @@
             .filter(|rule| !rule.standby)
             .map(|rule| rule.name.clone())
             .collect();
+        let supplies = self.supplies(now);
+        let replaced = self.pools_with_replacement();
         let mut balances = Vec::new();
         for pool in pools {
-            let required = self.required_machines(&pool, now);
+            let replacement = usize::from(replaced.contains(&pool));
+            let required = self.required_machines(&pool, replacement, now);
             let recent_peak = self.demand_history.record(&pool, required, now);
-            let supply = self.supply(&pool, now);
+            let supply = supplies.get(&pool).copied().unwrap_or(0);
             balances.push(PoolBalance {
                 pool,
                 required,
@@ -114,65 +141,47 @@
         balances
     }
 
-    /// Counts the machines that are in a pool, moving to it, or planned for it.
-    fn supply(&self, pool: &PoolId, now: Time) -> usize {
-        let counts = |managed: &&super::machines::ManagedMachine| match (
-            &managed.planned_pool,
-            &managed.order,
-        ) {
-            (Some(planned), _) => planned == pool,
-            (None, Some(Order::Move(target))) => target == pool,
-            _ => {
-                managed.machine.pool == *pool
-                    && (now < managed.available_at || managed.machine.state != MachineState::Down)
+    /// Counts the machines that are in each pool, moving to it, or planned for it.
+    fn supplies(&self, now: Time) -> BTreeMap<PoolId, usize> {
+        let mut supplies: BTreeMap<PoolId, usize> = BTreeMap::new();
+        for managed in self.machines.values() {
+            let machine = &managed.machine;
+            let in_service = now < managed.available_at || machine.state != MachineState::Down;
+            let pool = match (&managed.planned_pool, &managed.order) {
+                (Some(planned), _) => planned,
+                (None, Some(Order::Move(target))) => target,
+                _ if in_service => &machine.pool,
+                _ => continue,
+            };
+            match supplies.get_mut(pool) {
+                Some(count) => *count += 1,
+                None => {
+                    supplies.insert(pool.clone(), 1);
+                }
             }
-        };
-        self.machines.values().filter(counts).count()
+        }
+        supplies
     }
 
-    /// Returns the number of machines that a pool's demand requires.
-    fn required_machines(&self, pool: &PoolId, now: Time) -> usize {
-        let workers = self.workers.values().filter(|it| it.entry.pool == *pool);
-        let mut long_running = (0, 0);
-        let mut short = (0, 0);
-        let mut long_running_workers = 0;
-        for worker in workers {
-            long_running_workers += usize::from(worker.has_long_running());
-            for run in worker.runs.values() {
-                let sum = match run.long_running {
-                    true => &mut long_running,
-                    false => &mut short,
-                };
-                sum.0 += run.size.millicores;
-                sum.1 += run.size.memory_mb;
-            }
-        }
+    /// Returns the number of machines that a pool's demand requires, with `replacement` more while
+    /// long-running tasks have to leave a machine.
+    fn required_machines(&self, pool: &PoolId, replacement: usize, now: Time) -> usize {
+        let index = self.workers.pool(pool);
+        let long_running = index.map(|it| it.long_running()).unwrap_or_default();
+        let mut short = index.map(|it| it.short()).unwrap_or_default();
+        let long_running_workers = index.map_or(0, |it| it.long_running_workers());
         let mut short_hosts = 0;
         let mut long_running_hosts = 0;
-        for rank in self.ready.get(pool).into_iter().flatten() {
-            let Some(job) = self.jobs.get(&rank.task.job) else {
-                continue;
-            };
-            let Some(step) = job.step(rank.task.step) else {
-                continue;
-            };
-            short.0 += step.size().millicores;
-            short.1 += step.size().memory_mb;
-            if step.max_per_worker > 0 {
-                let hosts = step.count.div_ceil(step.max_per_worker) as usize;
-                let max_hosts = match step.long_running {
-                    true => &mut long_running_hosts,
-                    false => &mut short_hosts,
-                };
-                *max_hosts = hosts.max(*max_hosts);
-            }
+        if let Some(ready) = self.ready.get(pool) {
+            short = short.plus(ready.total());
+            short_hosts = ready.max_hosts(false);
+            long_running_hosts = ready.max_hosts(true);
         }
         let size = self.machine_size(pool);
         let forecast = self.forecast(pool, now) * 1e3;
-        let cores = long_running.0 as f64 + forecast.max(short.0 as f64);
-        let memory = (long_running.1 + short.1) as f64;
+        let cores = long_running.millicores as f64 + forecast.max(short.millicores as f64);
+        let memory = (long_running.memory_mb + short.memory_mb) as f64;
         let machines = (cores / size.0).max(memory / size.1) / MAX_UTILIZATION;
-        let replacement = usize::from(self.long_running_due(pool));
         let machines = machines.ceil() as usize;
         machines
             .max(short_hosts.min(machines + MAX_SPREAD_MACHINES))
@@ -183,49 +192,51 @@
 
     /// Returns the cores that the jobs of a pool's queues are expected to use.
     fn forecast(&self, pool: &PoolId, now: Time) -> f64 {
-        let queues = self.catalog.queues().filter(|it| it.pool == *pool);
+        let queues = self.demand.active_queues().filter(|name| {
+            let queue = self.catalog.queue(name);
+            queue.is_some_and(|it| it.pool == *pool)
+        });
         queues
-            .map(|queue| self.demand.forecast(&queue.name, FORECAST_SECS, now))
+            .map(|name| self.demand.forecast(name, FORECAST_SECS, now))
             .sum()
     }
 
     /// Returns the millicores and the memory of a typical machine.
     fn machine_size(&self, pool: &PoolId) -> (f64, f64) {
-        let own = self.workers.values().find(|it| it.entry.pool == *pool);
-        let any = own.or_else(|| self.workers.values().next());
-        let capacity = any.map(|it| it.entry.capacity).unwrap_or_default();
+        let own = self.workers.pool(pool).and_then(|it| it.capacity());
+        let any = own.or_else(|| self.workers.any_capacity());
+        let capacity = any.unwrap_or_default();
         let at_least = |value: u64| (value as f64).max(1.0);
         (at_least(capacity.millicores), at_least(capacity.memory_mb))
     }
 
-    /// Returns whether a machine with long-running tasks is due for maintenance.
-    fn long_running_due(&self, pool: &PoolId) -> bool {
-        self.machines.values().any(|managed| {
+    /// Returns the pools that have a machine with long-running tasks that is due for maintenance.
+    fn pools_with_replacement(&self) -> BTreeSet<PoolId> {
+        let pending = self.maintenance.pending_machines();
+        let due = pending.filter_map(|id| self.machines.get(id));
+        let due = due.filter(|managed| {
             let worker = self.workers.get(&managed.machine.worker);
-            managed.machine.pool == *pool
-                && self.maintenance.is_pending(&managed.machine.id)
-                && worker.is_some_and(Worker::has_long_running)
-        })
+            worker.is_some_and(Worker::has_long_running)
+        });
+        due.map(|managed| managed.machine.pool.clone()).collect()
     }
 
-    /// Returns the machine that is cheapest to take, with the index of its pool: standby ones
-    /// first, then idle ones of pools with a surplus, then those that become idle soonest.
-    fn cheapest_machine(
-        &self,
-        balances: &[PoolBalance],
-        now: Time,
-    ) -> Option<(VmId, Option<usize>)> {
-        let mut best: Option<(u64, VmId, Option<usize>)> = None;
+    /// Returns the machines that may move to another pool, cheapest first: standby ones, then idle
+    /// ones of pools with a surplus, then those that become idle soonest.
+    fn movable_machines(&self, balances: &[PoolBalance], now: Time) -> Vec<Candidate> {
+        let sources = balances.iter().enumerate();
+        let sources: BTreeMap<&PoolId, (usize, bool)> = sources
+            .map(|(index, it)| (&it.pool, (index, it.supply > it.required)))
+            .collect();
+        let mut candidates = Vec::new();
         for (id, managed) in &self.machines {
-            if !managed.is_available(now) || !self.may_order(id, now) {
+            let pool = &managed.machine.pool;
+            let source = sources.get(pool);
+            let standby = source.is_none() && self.catalog.is_standby(pool);
+            if !standby && !source.is_some_and(|(_, surplus)| *surplus) {
                 continue;
             }
-            let standby = self.catalog.is_standby(&managed.machine.pool);
-            let index = balances
-                .iter()
-                .position(|it| it.pool == managed.machine.pool);
-            let surplus = index.is_some_and(|it| balances[it].supply > balances[it].required);
-            if !standby && !surplus {
+            if !managed.is_available(now) || !self.may_order(id, now) {
                 continue;
             }
             let cost = match self.workers.get(&managed.machine.worker) {
@@ -233,19 +244,18 @@
                 None => continue,
                 Some(worker) if worker.has_long_running() || worker.entry.draining => continue,
                 Some(worker) => {
-                    worker
-                        .runs
-                        .values()
-                        .map(|run| u64::from(101 - run.percent.min(100)))
-                        .sum::<u64>()
-                        + 1
+                    let remaining = |run: &RunState| u64::from(101 - run.percent.min(100));
+                    worker.runs.values().map(remaining).sum::<u64>() + 1
                 }
             };
-            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, id.clone(), index));
-            }
+            candidates.push(Candidate {
+                cost,
+                machine: id.clone(),
+                source: source.map(|(index, _)| *index),
+            });
         }
-        best.map(|(_, machine, index)| (machine, index))
+        candidates.sort();
+        candidates
     }
 
     fn plan_move(&mut self, machine: &VmId, pool: PoolId, now: Time) {
@@ -331,22 +341,16 @@
         let Some(target) = target.map(|rule| rule.name.clone()) else {
             return;
         };
+        let excess = |balance: &PoolBalance| balance.supply > balance.recent_peak.max(MIN_MACHINES);
+        if !balances.iter().any(excess) {
+            return;
+        }
+        let mut idle = self.idle_machines(now);
         for balance in balances {
-            let mut idle: Vec<VmId> = self
-                .machines
-                .iter()
-                .filter(|(_, managed)| {
-                    managed.machine.pool == balance.pool && managed.is_available(now)
-                })
-                .filter(|(id, _)| self.may_order(id, now))
-                .filter(|(_, managed)| {
-                    let worker = self.workers.get(&managed.machine.worker);
-                    worker.is_some_and(|it| it.runs.is_empty() && it.has_reported)
-                })
-                .map(|(id, _)| id.clone())
-                .collect();
-            while balance.supply > balance.recent_peak.max(MIN_MACHINES) {
-                let Some(machine) = idle.pop() else {
+            let machines = idle.remove(&balance.pool).unwrap_or_default();
+            let mut machines = machines.into_iter().rev();
+            while excess(balance) {
+                let Some(machine) = machines.next() else {
                     break;
                 };
                 balance.supply -= 1;
@@ -354,6 +358,22 @@
             }
         }
     }
+
+    /// Returns the available machines without runs, by pool.
+    fn idle_machines(&self, now: Time) -> BTreeMap<PoolId, Vec<VmId>> {
+        let mut idle: BTreeMap<PoolId, Vec<VmId>> = BTreeMap::new();
+        for (id, managed) in &self.machines {
+            if !managed.is_available(now) || !self.may_order(id, now) {
+                continue;
+            }
+            let worker = self.workers.get(&managed.machine.worker);
+            if worker.is_some_and(|it| it.runs.is_empty() && it.has_reported) {
+                let pool = managed.machine.pool.clone();
+                idle.entry(pool).or_default().push(id.clone());
+            }
+        }
+        idle
+    }
 }
 
 /// Returns the index of the pool with the largest shortage relative to its requirement.
--- a/crates/wigeonhinge/src/batch/catalog.rs
+++ b/crates/wigeonhinge/src/batch/catalog.rs
@@ -1,6 +1,7 @@
 //! Scheduler configuration and request routing to queues.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::ops::Bound;
 use std::time::Duration;
 
@@ -36,6 +37,8 @@
     queues: BTreeMap<CompactString, Queue>,
     /// Queue names by path prefix, by host.
     hosts: BTreeMap<CompactString, BTreeMap<CompactString, CompactString>>,
+    /// Pools that a queue uses.
+    used_pools: BTreeSet<PoolId>,
 }
 
 impl Catalog {
@@ -55,6 +58,7 @@
         for queue in queues {
             let prefixes = catalog.hosts.entry(queue.host.clone()).or_default();
             prefixes.insert(queue.prefix.clone(), queue.name.clone());
+            catalog.used_pools.insert(queue.pool.clone());
             catalog.queues.insert(queue.name.clone(), queue);
         }
         catalog
@@ -88,6 +92,11 @@
         }
     }
 
+    /// Returns whether the tasks of a queue run in a pool.
+    pub fn has_queue(&self, pool: &str) -> bool {
+        self.used_pools.contains(pool)
+    }
+
     /// Returns whether a pool holds machines that are switched off and cost nothing.
     pub fn is_standby(&self, pool: &str) -> bool {
         self.pools
--- a/crates/wigeonhinge/src/batch/demand.rs
+++ b/crates/wigeonhinge/src/batch/demand.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Returns the queues that had arrivals in this term.
+    pub(super) fn active_queues(&self) -> impl Iterator<Item = &CompactString> {
+        self.arrivals.keys()
+    }
+
     /// Returns whether arrivals were recorded for long enough to tell which pools are idle.
     pub(super) fn has_history(&self, now: Time) -> bool {
         self.first_arrival
--- a/crates/wigeonhinge/src/batch/event.rs
+++ b/crates/wigeonhinge/src/batch/event.rs
@@ -28,6 +28,10 @@
     Cancel(JobId),
     /// The registry's complete list of workers.
     Workers(Vec<WorkerEntry>),
+    /// A worker's registry entry was added or changed.
+    WorkerRegistered(WorkerEntry),
+    /// A worker's registry entry was removed.
+    WorkerRemoved(WorkerId),
     /// A worker reported its active and finished runs.
     Report(WorkerId, Report),
     /// A lease extension was sent to a worker, which may not have received it.
--- a/crates/wigeonhinge/src/batch/job.rs
+++ b/crates/wigeonhinge/src/batch/job.rs
@@ -13,6 +13,8 @@
 use crate::batch::TaskId;
 use crate::batch::TaskRow;
 use crate::batch::Write;
+use crate::batch::ready::Rank;
+use crate::batch::ready::Urgency;
 use crate::batch::task::Status;
 use crate::batch::task::Task;
 use crate::id::JobId;
@@ -26,15 +28,12 @@
 /// milliseconds; covers the delivery of its result to the caller.
 const RESULT_DELIVERY_MS: i64 = 150;
 
-/// Position of a ready task in its pool; lower ranks start first.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) struct Rank {
-    /// Whether the occurrence can no longer meet its latency objective.
-    pub(super) late: bool,
-    pub(super) priority: u32,
-    pub(super) deadline_ms: i64,
-    pub(super) task: TaskId,
-}
+/// Longest time between two checks whether a job can still meet its objective, in milliseconds;
+/// expected run times change while the job waits.
+const MAX_LATE_CHECK_MS: i64 = 1_000;
+
+/// Shortest time between two such checks, in milliseconds.
+const MIN_LATE_CHECK_MS: i64 = 100;
 
 /// Accepted job that has not ended.
 #[derive(Debug)]
@@ -104,22 +103,20 @@
         job
     }
 
-    /// Applies the settings of a queue; returns whether the ranks of the tasks change.
-    fn apply_queue(&mut self, queue: &Queue) -> bool {
-        let before = (
-            std::mem::replace(&mut self.pool, queue.pool.clone()),
-            std::mem::replace(&mut self.priority, queue.priority),
-            std::mem::replace(&mut self.stretch_factor, queue.stretch_factor),
-            std::mem::replace(&mut self.objective, queue.objective),
-        );
+    /// Returns whether the settings of a queue change the pool or the ranks of the tasks.
+    fn reranks(&self, queue: &Queue) -> bool {
+        self.pool != queue.pool
+            || self.priority != queue.priority
+            || self.stretch_factor != queue.stretch_factor
+            || self.objective != queue.objective
+    }
+
+    fn apply_queue(&mut self, queue: &Queue) {
+        self.pool = queue.pool.clone();
+        self.priority = queue.priority;
+        self.stretch_factor = queue.stretch_factor;
+        self.objective = queue.objective;
         self.max_attempts = queue.max_attempts.max(1);
-        before
-            != (
-                self.pool.clone(),
-                self.priority,
-                self.stretch_factor,
-                self.objective,
-            )
     }
 
     fn occurrence_count(&self) -> u32 {
@@ -288,6 +285,10 @@
         if let Some(progress) = progress {
             job.apply_progress(progress);
         }
+        if job.row.job.repeat > 0 {
+            self.repeated_jobs.insert(id.clone());
+        }
+        self.late_checks.insert((self.wall_ms(now), id.clone()));
         self.jobs.insert(id.clone(), job);
         self.adopt_runs(&id, now);
         self.enqueue(&id, now);
@@ -296,33 +297,59 @@
 
     /// Applies the current configuration of the job's queue.
     pub(super) fn update_queue(&mut self, id: &JobId, now: Time) {
-        let Some(job) = self.jobs.get_mut(id) else {
+        let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let Some(queue) = self.catalog.queue(&job.row.queue) else {
+        let Some(queue) = self.catalog.queue(&job.row.queue).cloned() else {
             return;
         };
-        if job.apply_queue(queue) {
-            self.requeue(id, now);
+        let reranks = job.reranks(&queue);
+        if reranks {
+            self.dequeue_job(id);
+        }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.apply_queue(&queue);
+        }
+        if reranks {
+            self.enqueue(id, now);
         }
     }
 
-    /// Removes the tasks of a job from the ready queues and adds them with their new ranks.
-    fn requeue(&mut self, id: &JobId, now: Time) {
-        for ready in self.ready.values_mut() {
-            ready.retain(|rank| rank.task.job != *id);
+    /// Removes a task from the ready queue of its pool.
+    pub(super) fn dequeue(&mut self, pool: &PoolId, rank: &Rank) {
+        if let Some(ready) = self.ready.get_mut(pool) {
+            ready.remove(rank);
+        }
+        let job = self.jobs.get_mut(&rank.task.job);
+        if let Some(task) = job.and_then(|job| job.task_mut(&rank.task)) {
+            task.queued = None;
         }
+    }
+
+    /// Removes the tasks of a job from the ready queue of its pool.
+    fn dequeue_job(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        for occurrence in job.occurrences.values_mut() {
-            for tasks in &mut occurrence.steps {
-                for task in &mut tasks.tasks {
-                    task.queued = false;
+        let Some(ready) = self.ready.get_mut(&job.pool) else {
+            return;
+        };
+        for (number, occurrence) in &mut job.occurrences {
+            for (step, tasks) in occurrence.steps.iter_mut().enumerate() {
+                for (index, task) in tasks.tasks.iter_mut().enumerate() {
+                    let Some(urgency) = task.queued.take() else {
+                        continue;
+                    };
+                    let task = TaskId {
+                        job: id.clone(),
+                        occurrence: *number,
+                        step: step as u32,
+                        index: index as u32,
+                    };
+                    ready.remove(&Rank { urgency, task });
                 }
             }
         }
-        self.enqueue(id, now);
     }
 
     /// Adds the tasks of a job that can start to the ready queue of its pool.
@@ -350,11 +377,11 @@
                     continue;
                 }
                 for (task_index, task) in occurrence.steps[index].tasks.iter_mut().enumerate() {
-                    if !task.waiting() || task.queued || (step.gang && task_index > 0) {
+                    let queued = task.queued.is_some();
+                    if !task.waiting() || queued || (step.gang && task_index > 0) {
                         continue;
                     }
-                    task.queued = true;
-                    ready.insert(Rank {
+                    let urgency = Urgency {
                         late: occurrence.late && !step.long_running,
                         priority: job.priority,
                         // Every moment without a long-running task is downtime.
@@ -362,13 +389,15 @@
                             true => i64::MIN,
                             false => deadline_ms,
                         },
-                        task: TaskId {
-                            job: id.clone(),
-                            occurrence: *number,
-                            step: index as u32,
-                            index: task_index as u32,
-                        },
-                    });
+                    };
+                    task.queued = Some(urgency);
+                    let task = TaskId {
+                        job: id.clone(),
+                        occurrence: *number,
+                        step: index as u32,
+                        index: task_index as u32,
+                    };
+                    ready.insert(Rank { urgency, task }, step);
                 }
             }
         }
@@ -377,35 +406,52 @@
 
     /// Enqueues the tasks of occurrences that are due by now.
     pub(super) fn enqueue_due(&mut self, now: Time) {
-        let repeated = |job: &&Job| job.row.job.repeat > 0;
-        let ids = self.jobs.values().filter(repeated);
-        let ids: Vec<JobId> = ids.map(|job| job.row.id.clone()).collect();
+        let ids: Vec<JobId> = self.repeated_jobs.iter().cloned().collect();
         for id in ids {
             self.enqueue(&id, now);
         }
     }
 
     /// Ranks occurrences that can no longer meet their objective after all others.
+    ///
+    /// A job is checked when it would become late at its last check's expectation.
     pub(super) fn demote_late(&mut self, now: Time) {
         let wall_ms = self.wall_ms(now);
-        let mut demoted = Vec::new();
-        for (id, job) in &mut self.jobs {
+        while self
+            .late_checks
+            .first()
+            .is_some_and(|(time, _)| *time <= wall_ms)
+        {
+            let Some((_, id)) = self.late_checks.pop_first() else {
+                return;
+            };
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
             let objective_ms =
                 self.demand
                     .objective_ms(&job.row, job.stretch_factor, job.objective);
-            for occurrence in job.occurrences.values_mut() {
+            let mut demoted = false;
+            let mut next_check = None;
+            for occurrence in job.occurrences.values_mut().filter(|it| !it.late) {
                 let remaining_ms = self.demand.remaining_ms(&job.row, occurrence);
-                let late =
-                    wall_ms + remaining_ms + RESULT_DELIVERY_MS > occurrence.due_ms + objective_ms;
-                if late && !occurrence.late {
-                    occurrence.late = true;
-                    demoted.push(id.clone());
+                let late_at = occurrence.due_ms + objective_ms - remaining_ms - RESULT_DELIVERY_MS;
+                occurrence.late = wall_ms > late_at;
+                demoted |= occurrence.late;
+                if !occurrence.late {
+                    let check = late_at + 1;
+                    next_check = Some(next_check.map_or(check, |it: i64| it.min(check)));
                 }
             }
-        }
-        demoted.dedup();
-        for id in demoted {
-            self.requeue(&id, now);
+            if let Some(check) = next_check {
+                let range = (wall_ms + MIN_LATE_CHECK_MS, wall_ms + MAX_LATE_CHECK_MS);
+                self.late_checks
+                    .insert((check.clamp(range.0, range.1), id.clone()));
+            }
+            if demoted {
+                self.dequeue_job(&id);
+                self.enqueue(&id, now);
+            }
         }
     }
 
@@ -429,13 +475,12 @@
     /// Ends a job: stops its runs and queues its final row for writing.
     pub(super) fn finish(&mut self, id: &JobId, phase: Phase, now: Time) -> u64 {
         let version = self.bump_version(id);
+        self.dequeue_job(id);
         let Some(mut job) = self.jobs.remove(id) else {
             return version;
         };
         job.phase = phase;
-        for ready in self.ready.values_mut() {
-            ready.retain(|rank| rank.task.job != *id);
-        }
+        self.repeated_jobs.remove(id);
         self.reservations.retain(|task, _| task.job != *id);
         let age = self.wall_ms(now) - job.row.accepted_ms;
         self.log(format!(
--- a/crates/wigeonhinge/src/batch/machines.rs
+++ b/crates/wigeonhinge/src/batch/machines.rs
@@ -7,6 +7,7 @@
 use crate::batch::Batch;
 use crate::batch::OrdersRow;
 use crate::batch::WorkerId;
+use crate::batch::worker::Worker;
 use crate::id::PoolId;
 use crate::id::Time;
 use crate::id::VmId;
@@ -180,10 +181,12 @@
             .values()
             .filter(|managed| managed.order.is_some());
         let ordered: BTreeSet<WorkerId> = ordered.map(|it| it.machine.worker.clone()).collect();
-        for (id, worker) in &mut self.workers {
-            if worker.cordoned
-                && !ordered.contains(id)
-                && now.saturating_sub(worker.cordoned_at) > CORDON_RETENTION
+        let outdated = |worker: &Worker| {
+            worker.cordoned && now.saturating_sub(worker.cordoned_at) > CORDON_RETENTION
+        };
+        for id in self.workers.select(outdated) {
+            if !ordered.contains(&id)
+                && let Some(worker) = self.workers.get_mut(&id)
             {
                 worker.cordoned = false;
                 self.dirty_pools.insert(worker.entry.pool.clone());
--- a/crates/wigeonhinge/src/batch/maintenance.rs
+++ b/crates/wigeonhinge/src/batch/maintenance.rs
@@ -71,6 +71,8 @@
 #[derive(Debug)]
 struct ActiveWave {
     wave: Wave,
+    /// Machines whose maintenance was not accepted yet.
+    pending: BTreeSet<VmId>,
     deadline: Time,
     published: bool,
 }
@@ -79,23 +81,26 @@
     pub(super) fn add(&mut self, wave: Wave, now: Time) {
         let deadline = now + wave.remaining;
         let published = wave.completed;
+        let pending = wave.machines.iter().filter(|it| !wave.done.contains(*it));
+        let pending = pending.cloned().collect();
         self.waves.entry(wave.number).or_insert(ActiveWave {
             wave,
+            pending,
             deadline,
             published,
         });
     }
 
-    /// Returns whether a wave includes a machine whose maintenance was not accepted yet.
-    pub(super) fn is_pending(&self, machine: &VmId) -> bool {
-        self.waves.values().any(|it| {
-            !it.published && it.wave.machines.contains(machine) && !it.wave.done.contains(machine)
-        })
+    /// Returns the machines of all waves whose maintenance was not accepted yet.
+    pub(super) fn pending_machines(&self) -> impl Iterator<Item = &VmId> {
+        let active = self.waves.values().filter(|it| !it.published);
+        active.flat_map(|it| &it.pending)
     }
 
     pub(super) fn mark_done(&mut self, wave: u64, machine: &VmId) {
         if let Some(active) = self.waves.get_mut(&wave) {
             active.wave.done.insert(machine.clone());
+            active.pending.remove(machine);
         }
     }
 
@@ -130,9 +135,9 @@
         }
         let limit = active.wave.limit.max(1);
         let urgent = now + URGENT_TIME >= active.deadline;
-        let members = active.wave.machines.iter();
-        let open: Vec<VmId> = members
-            .filter(|it| !active.wave.done.contains(*it) && self.machines.contains_key(*it))
+        let open = active.pending.iter();
+        let open: Vec<VmId> = open
+            .filter(|it| self.machines.contains_key(*it))
             .cloned()
             .collect();
         let down = active.wave.machines.iter();
@@ -293,10 +298,11 @@
     }
 
     /// Returns whether another worker has capacity for a task.
-    fn fits_elsewhere(&self, task: &TaskId, now: Time) -> bool {
-        let step = self.jobs.get(&task.job).and_then(|it| it.step(task.step));
+    fn fits_elsewhere(&mut self, task: &TaskId, now: Time) -> bool {
+        let job = self.jobs.get(&task.job);
+        let step = job.and_then(|it| it.step(task.step)).cloned();
         step.is_none_or(|step| {
-            self.choose_worker(task, step, (&[], &BTreeSet::new()), now)
+            self.choose_worker(task, &step, (&[], &BTreeSet::new()), now)
                 .is_some()
         })
     }
--- a/crates/wigeonhinge/src/batch/pace.rs
+++ b/crates/wigeonhinge/src/batch/pace.rs
@@ -24,10 +24,12 @@
 impl Batch {
     /// Adjusts the speed limits of best-effort tasks to the tail latency of the tasks beside them.
     pub(super) fn pace_best_effort(&mut self, now: Time) {
-        for (id, worker) in &mut self.workers {
-            if now < worker.paced_at + PACE_INTERVAL {
+        let due =
+            |worker: &Worker| now >= worker.paced_at + PACE_INTERVAL && max_load(worker).is_some();
+        for id in self.workers.select(due) {
+            let Some(worker) = self.workers.get_mut(&id) else {
                 continue;
-            }
+            };
             let Some(load) = max_load(worker) else {
                 continue;
             };
--- a/crates/wigeonhinge/src/batch/place.rs
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -10,17 +10,77 @@
 use crate::batch::Step;
 use crate::batch::TaskId;
 use crate::batch::WorkerId;
-use crate::batch::job::Rank;
+use crate::batch::ready::Rank;
 use crate::batch::task::Status;
 use crate::batch::worker::RunState;
 use crate::batch::worker::Stage;
 use crate::batch::worker::Worker;
+use crate::id::JobId;
 use crate::id::PoolId;
 use crate::id::Time;
 
 /// Tasks without a suitable worker after which a pass over a pool ends.
 const MAX_MISSES: usize = 16;
 
+/// Tasks that are passed over because an equal or smaller one found no worker, after which a pass
+/// over a pool ends.
+const MAX_SKIPPED: usize = 64;
+
+/// Result of an attempt to place a task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Placement {
+    /// Capacity is reserved.
+    Placed,
+    /// The task does not wait any more.
+    Gone,
+    /// No worker has capacity for it.
+    NoWorker,
+    /// It must not start yet.
+    TooEarly,
+}
+
+/// Tasks that found no worker in the current pass over a pool.
+///
+/// Within a pass capacity only shrinks, so equal tasks and tasks that ask for more find none either.
+#[derive(Debug, Default)]
+struct Misses {
+    /// Requests of tasks that any worker may run.
+    sizes: Vec<Size>,
+    /// Steps, each of an occurrence, whose tasks found no worker.
+    steps: BTreeSet<(JobId, u32, u32)>,
+    count: usize,
+    skipped: usize,
+}
+
+impl Misses {
+    fn record(&mut self, task: &TaskId, step: &Step) {
+        self.count += 1;
+        // Each long-running task may reserve a worker of its own.
+        if step.long_running || step.gang {
+            return;
+        }
+        if step.requires.is_empty() && step.max_per_worker == 0 {
+            self.sizes.push(step.size());
+        }
+        let key = (task.job.clone(), task.occurrence, task.step);
+        self.steps.insert(key);
+    }
+
+    /// Returns whether a task finds no worker for certain.
+    fn covers(&self, task: &TaskId, step: &Step) -> bool {
+        if step.long_running || step.gang || self.count == 0 {
+            return false;
+        }
+        let size = step.size();
+        let key = (task.job.clone(), task.occurrence, task.step);
+        self.sizes.iter().any(|missed| missed.fits(size)) || self.steps.contains(&key)
+    }
+
+    fn full(&self) -> bool {
+        self.count >= MAX_MISSES || self.skipped >= MAX_SKIPPED
+    }
+}
+
 impl Batch {
     /// Places ready tasks of the pools that changed since the last pass.
     pub(super) fn place_tasks(&mut self, now: Time) {
@@ -30,48 +90,53 @@
     }
 
     fn place_pool(&mut self, pool: &PoolId, now: Time) {
-        let mut misses = 0;
-        let mut placed = Vec::new();
+        let mut misses = Misses::default();
         // Workers that get no other tasks until a long-running task fits on them.
         let mut reserved = BTreeSet::new();
-        let Some(ready) = self.ready.get(pool) else {
-            return;
-        };
-        let ranks: Vec<Rank> = ready.iter().take(MAX_MISSES * 16).cloned().collect();
-        for rank in ranks {
-            if misses >= MAX_MISSES {
-                break;
+        let mut last: Option<Rank> = None;
+        while !misses.full() {
+            let ready = self.ready.get(pool);
+            let Some(rank) = ready.and_then(|it| it.next(last.as_ref())).cloned() else {
+                return;
+            };
+            let step = self.step(&rank.task).cloned();
+            if let Some(step) = &step
+                && misses.covers(&rank.task, step)
+            {
+                misses.skipped += 1;
+                last = Some(rank);
+                continue;
             }
-            match self.place_task(&rank.task, &reserved, now) {
-                true => placed.push(rank),
-                false => {
-                    misses += 1;
-                    if let Some(worker) = self.worker_to_reserve(&rank.task, &reserved, now) {
-                        self.reservations.insert(rank.task.clone(), worker.clone());
-                        reserved.insert(worker);
-                    }
+            let placement = match &step {
+                Some(step) => self.place_task(&rank.task, step, &reserved, now),
+                None => Placement::Gone,
+            };
+            match (placement, &step) {
+                (Placement::Placed | Placement::Gone, _) => {
+                    self.dequeue(pool, &rank);
+                    self.reservations.remove(&rank.task);
                 }
+                (Placement::NoWorker, Some(step)) => misses.record(&rank.task, step),
+                (Placement::NoWorker | Placement::TooEarly, _) => misses.count += 1,
             }
-        }
-        if let Some(ready) = self.ready.get_mut(pool) {
-            for rank in placed {
-                ready.remove(&rank);
-                self.reservations.remove(&rank.task);
+            if matches!(placement, Placement::NoWorker | Placement::TooEarly)
+                && let Some(worker) = self.worker_to_reserve(&rank.task, &reserved, now)
+            {
+                self.reservations.insert(rank.task.clone(), worker.clone());
+                reserved.insert(worker);
             }
+            last = Some(rank);
         }
     }
 
     /// Reserves capacity for a task, or for its whole gang.
-    ///
-    /// Returns whether the task can leave the ready queue, which is also so if it no longer waits.
-    fn place_task(&mut self, task: &TaskId, reserved: &BTreeSet<WorkerId>, now: Time) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return true;
-        };
-        let Some(step) = job.step(task.step) else {
-            return true;
-        };
-        let step = step.clone();
+    fn place_task(
+        &mut self,
+        task: &TaskId,
+        step: &Step,
+        reserved: &BTreeSet<WorkerId>,
+        now: Time,
+    ) -> Placement {
         let count = match step.gang {
             true => step.count,
             false => 1,
@@ -84,22 +149,31 @@
                 ..task.clone()
             };
             let state = self.jobs.get(&task.job).and_then(|job| job.task(&member));
-            if state.is_some_and(|state| !state.waiting()) {
+            let Some(state) = state else {
+                return Placement::NoWorker;
+            };
+            if !state.waiting() {
                 // A run that was considered lost has ended in the meantime.
-                return true;
+                return Placement::Gone;
+            }
+            if state.retry_at > now {
+                return Placement::TooEarly;
             }
-            let worker = self.choose_worker(&member, &step, (&chosen, reserved), now);
-            let (Some(worker), Some(state)) = (worker, state) else {
-                return false;
-            };
             run = run.max(state.run + 1);
-            chosen.push((member, worker));
+            match self.choose_worker(&member, step, (&chosen, reserved), now) {
+                Some(worker) => chosen.push((member, worker)),
+                None => return Placement::NoWorker,
+            }
         }
         let version = self.bump_version(&task.job);
         for (member, worker) in chosen {
             self.reserve(&member, &worker, (run, version), now);
         }
-        true
+        Placement::Placed
+    }
+
+    fn step(&self, task: &TaskId) -> Option<&Step> {
+        self.jobs.get(&task.job)?.step(task.step)
     }
 
     fn reserve(&mut self, task: &TaskId, worker: &WorkerId, (run, version): (u32, u64), now: Time) {
@@ -112,7 +186,6 @@
         job.phase = Phase::Active;
         if let Some(state) = job.task_mut(task) {
             state.run = run;
-            state.queued = false;
             state.status = Status::Recording {
                 worker: worker.clone(),
                 version,
@@ -127,13 +200,17 @@
     }
 
     /// Returns the best worker with capacity for a task, besides the gang members in `chosen`.
+    ///
+    /// Workers are tried in the order in which they are filled, so that the first one that fits is
+    /// taken unless the step prefers some workers or the worker failed lately.
     pub(super) fn choose_worker(
-        &self,
+        &mut self,
         task: &TaskId,
         step: &Step,
         (chosen, reserved): (&[(TaskId, WorkerId)], &BTreeSet<WorkerId>),
         now: Time,
     ) -> Option<WorkerId> {
+        self.workers.refresh();
         let job = self.jobs.get(&task.job)?;
         let state = job.task(task)?;
         if state.retry_at > now {
@@ -145,8 +222,7 @@
         }
         let fits = |id: &WorkerId, worker: &Worker| {
             let chosen_size = scaled(step.size(), taken.get(id).copied().unwrap_or(0));
-            worker.entry.pool == job.pool
-                && worker.accepts_work(now)
+            worker.accepts_work(now)
                 && !reserved.contains(id)
                 && step.size().fits(worker.free().minus(chosen_size))
                 && (step.requires.is_empty() || worker.entry.labels.contains(&step.requires))
@@ -157,29 +233,49 @@
             .first()
             .filter(|_| step.same_rack)
             .and_then(|(_, id)| self.workers.get(id));
-        let pool = self.workers.values().filter(|it| it.entry.pool == job.pool);
+        let pool = self.workers.pool(&job.pool)?;
+        let open = pool.open(step.size().millicores);
+        let open = open.filter_map(|id| Some((id, self.workers.get(id)?)));
+        let cost = |id: &WorkerId, worker: &Worker| {
+            let avoided = state.avoid.as_ref() == Some(id);
+            let no_affinity =
+                !step.affinity.is_empty() && !worker.entry.labels.contains(&step.affinity);
+            let other_rack = rack.is_some_and(|it| it.entry.labels != worker.entry.labels);
+            let conflicting = conflicting_runs(step, worker);
+            let cost = (
+                avoided,
+                no_affinity,
+                other_rack,
+                worker.failure_streak,
+                conflicting,
+            );
+            (cost, cost == (false, false, false, 0, 0))
+        };
+        let best = |paused: bool| {
+            let mut best = None;
+            for (id, worker) in open.clone() {
+                if worker.paused(now) != paused || !fits(id, worker) {
+                    continue;
+                }
+                let (cost, lowest) = cost(id, worker);
+                if lowest {
+                    return Some(id.clone());
+                }
+                if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                    best = Some((cost, id.clone()));
+                }
+            }
+            best.map(|(_, id)| id)
+        };
         // If all workers of the pool are paused, they are used nevertheless.
-        let all_paused = pool
-            .filter(|it| it.accepts_work(now))
-            .all(|it| it.paused(now));
-        self.workers
-            .iter()
-            .filter(|(_, worker)| all_paused || !worker.paused(now))
-            .filter(|(id, worker)| fits(id, worker))
-            .min_by_key(|(id, worker)| {
-                let avoided = state.avoid.as_ref() == Some(*id);
-                let no_affinity =
-                    !step.affinity.is_empty() && !worker.entry.labels.contains(&step.affinity);
-                let other_rack = rack.is_some_and(|it| it.entry.labels != worker.entry.labels);
-                (
-                    avoided,
-                    no_affinity,
-                    other_rack,
-                    worker.failure_streak,
-                    placement_cost(step, worker),
-                )
-            })
-            .map(|(id, _)| id.clone())
+        let all_paused = || {
+            let mut accepting = pool.open(0).filter_map(|id| self.workers.get(id));
+            accepting.all(|it| it.paused(now) || !it.accepts_work(now))
+        };
+        match best(false) {
+            None if all_paused() => best(true),
+            found => found,
+        }
     }
 
     /// Returns the worker on which a long-running task that fits nowhere should fit soonest.
@@ -214,8 +310,8 @@
         {
             return Some(id.clone());
         }
-        self.workers
-            .iter()
+        let open = self.workers.pool(&job.pool)?.open(0);
+        open.filter_map(|id| Some((id, self.workers.get(id)?)))
             .filter(|(id, worker)| eligible(id, worker))
             .max_by_key(|(_, worker)| {
                 let free = worker.free();
@@ -243,23 +339,15 @@
     }
 }
 
-/// Sort key of a worker for a task, lowest first.
-///
-/// Separates latency-sensitive from best-effort tasks, and packs all others on workers
-/// that are in use already.
-fn placement_cost(step: &Step, worker: &Worker) -> (u64, bool, Reverse<u64>) {
-    let latency_sensitive = worker.runs.values().filter(|run| run.goal_ms > 0).count() as u64;
-    let best_effort = worker.runs.values().filter(|run| run.best_effort).count() as u64;
-    let conflicting = match (step.best_effort, step.goal_ms > 0) {
-        (true, _) => latency_sensitive,
-        (_, true) => best_effort,
+/// Returns how many runs of a worker conflict with a task: latency-sensitive tasks and best-effort
+/// ones disturb each other.
+fn conflicting_runs(step: &Step, worker: &Worker) -> usize {
+    let runs = worker.runs.values();
+    match (step.best_effort, step.goal_ms > 0) {
+        (true, _) => runs.filter(|run| run.goal_ms > 0).count(),
+        (_, true) => runs.filter(|run| run.best_effort).count(),
         _ => 0,
-    };
-    (
-        conflicting,
-        !worker.has_long_running(),
-        Reverse(worker.used.millicores),
-    )
+    }
 }
 
 fn scaled(size: Size, count: u64) -> Size {
--- a/crates/wigeonhinge/src/batch/report.rs
+++ b/crates/wigeonhinge/src/batch/report.rs
@@ -11,6 +11,7 @@
 use crate::batch::Run;
 use crate::batch::TaskId;
 use crate::batch::WorkerId;
+use crate::batch::ready::Rank;
 use crate::batch::task::Status;
 use crate::batch::worker;
 use crate::batch::worker::Stage;
@@ -187,6 +188,7 @@
         let job = self.jobs.get_mut(&task.job)?;
         let step = job.step(task.step)?.clone();
         let queue = job.row.queue.clone();
+        let pool = job.pool.clone();
         let attempts = job.max_attempts;
         let state = job.task_mut(task)?;
         if state.done() {
@@ -201,6 +203,11 @@
             End::Done if !step.long_running => {
                 state.status = Status::Done;
                 state.checkpoint = CompactString::default();
+                let queued = state.queued.take();
+                if let (Some(urgency), Some(ready)) = (queued, self.ready.get_mut(&pool)) {
+                    let task = task.clone();
+                    ready.remove(&Rank { urgency, task });
+                }
                 if let Some(elapsed) = elapsed {
                     self.demand.record_run_time(&queue, &step, elapsed);
                 }
@@ -224,7 +231,7 @@
         }
         if current {
             state.status = Status::Waiting;
-            state.queued = false;
+            state.queued = None;
             if ended.end == End::Failed {
                 state.avoid = Some(id.clone());
                 state.retry_at = now + FAILED_RETRY_DELAY;
@@ -347,7 +354,7 @@
     /// Stops stalled runs and quarantines their workers, so that the tasks start elsewhere.
     pub(super) fn stop_stalled(&mut self, now: Time) {
         let mut stalled = Vec::new();
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.workers.iter() {
             // A report may be as old as one poll; without it, progress is unknown.
             if now.saturating_sub(worker.reported_at) > Duration::from_millis(700) {
                 continue;
--- a/crates/wigeonhinge/src/batch/runs.rs
+++ b/crates/wigeonhinge/src/batch/runs.rs
@@ -54,16 +54,18 @@
                 continue;
             };
             let run = RunState::new(state.run, step, Stage::Starting, now);
-            let worker = self.workers.entry(name.clone()).or_insert_with(|| {
+            if !self.workers.contains_key(name) {
                 let entry = WorkerEntry {
                     id: name.clone(),
                     ..WorkerEntry::default()
                 };
                 let mut worker = Worker::new(entry, now, now + lease);
                 worker.unregistered = true;
-                worker
-            });
-            worker.insert(task, run);
+                self.workers.insert(name.clone(), worker);
+            }
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.insert(task, run);
+            }
         }
     }
 
@@ -205,7 +207,7 @@
         }
         state.status = Status::Waiting;
         state.avoid = Some(worker.clone());
-        state.queued = false;
+        state.queued = None;
         self.bump_version(&task.job);
         self.enqueue(&task.job, now);
     }
@@ -215,37 +217,32 @@
         let mut lost = Vec::new();
         let mut stops = Vec::new();
         let mut unanswered_starts = Vec::new();
-        for (id, worker) in &mut self.workers {
-            if now >= worker.lease_end && !worker.runs.is_empty() {
-                worker.has_reported = false;
-                for (task, run) in &worker.runs {
-                    lost.push((id.clone(), task.clone(), run.run));
-                }
+        for (id, worker) in self.workers.iter() {
+            if worker.runs.is_empty() {
                 continue;
             }
-            for (task, run) in &mut worker.runs {
-                let unanswered = run.stage == Stage::Starting && worker.has_reported;
-                if unanswered && now.saturating_sub(run.since) > START_ANSWER_TIMEOUT {
-                    unanswered_starts.push((id.clone(), task.clone()));
-                    continue;
-                }
-                let Stage::Stopping(sent_at, answered) = &mut run.stage else {
-                    continue;
-                };
-                let timed_out = match answered {
-                    // A poll that is sent after the answer tells whether the run is gone.
-                    Some(time) => now.saturating_sub(*time) > STOP_EFFECT_TIMEOUT,
-                    None => now.saturating_sub(*sent_at) > STOP_ANSWER_TIMEOUT,
-                };
-                if timed_out && worker.has_reported {
-                    *sent_at = now;
-                    *answered = None;
-                    stops.push((id.clone(), task.clone(), run.run));
+            if now >= worker.lease_end {
+                let runs = worker.runs.iter();
+                lost.extend(runs.map(|(task, run)| (id.clone(), task.clone(), run.run)));
+                continue;
+            }
+            for (task, run) in worker.runs.iter().filter(|_| worker.has_reported) {
+                match run.stage {
+                    Stage::Starting if now.saturating_sub(run.since) > START_ANSWER_TIMEOUT => {
+                        unanswered_starts.push((id.clone(), task.clone()));
+                    }
+                    Stage::Stopping(sent_at, answered)
+                        if stop_timed_out(sent_at, answered, now) =>
+                    {
+                        stops.push((id.clone(), task.clone(), run.run));
+                    }
+                    _ => {}
                 }
             }
         }
         for (worker, task, run) in lost {
             if let Some(entry) = self.workers.get_mut(&worker) {
+                entry.has_reported = false;
                 entry.remove(&task);
             }
             self.log(format!(
@@ -260,8 +257,21 @@
             self.stop(&worker, &task);
         }
         for (worker, task, run) in stops {
+            let entry = self.workers.get_mut(&worker);
+            if let Some(state) = entry.and_then(|it| it.runs.get_mut(&task)) {
+                state.stage = Stage::Stopping(now, None);
+            }
             self.actions.push(Action::Stop { worker, task, run });
         }
         self.remove_absent(now);
     }
 }
+
+/// Returns whether a stop has to be sent again.
+fn stop_timed_out(sent_at: Time, answered: Option<Time>, now: Time) -> bool {
+    match answered {
+        // A poll that is sent after the answer tells whether the run is gone.
+        Some(time) => now.saturating_sub(time) > STOP_EFFECT_TIMEOUT,
+        None => now.saturating_sub(sent_at) > STOP_ANSWER_TIMEOUT,
+    }
+}
--- a/crates/wigeonhinge/src/batch/task.rs
+++ b/crates/wigeonhinge/src/batch/task.rs
@@ -7,6 +7,7 @@
 
 use crate::batch::Run;
 use crate::batch::WorkerId;
+use crate::batch::ready::Urgency;
 use crate::id::JobId;
 use crate::id::Time;
 
@@ -86,8 +87,8 @@
     pub(super) avoid: Option<WorkerId>,
     /// Time before which the task is not started again.
     pub(super) retry_at: Time,
-    /// Whether the task is in a ready queue.
-    pub(super) queued: bool,
+    /// Its urgency in the ready queue of its pool, if it is there.
+    pub(super) queued: Option<Urgency>,
 }
 
 impl Task {
--- a/crates/wigeonhinge/src/batch/worker.rs
+++ b/crates/wigeonhinge/src/batch/worker.rs
@@ -9,6 +9,7 @@
 use crate::batch::TaskId;
 use crate::batch::WorkerEntry;
 use crate::batch::WorkerId;
+use crate::batch::workers::IndexEntry;
 use crate::id::JobId;
 use crate::id::Time;
 
@@ -73,7 +74,12 @@
 pub(super) struct Worker {
     pub(super) entry: WorkerEntry,
     pub(super) runs: BTreeMap<TaskId, RunState>,
+    /// Requests of all runs.
     pub(super) used: Size,
+    /// Requests of the long-running runs.
+    pub(super) long_running: Size,
+    /// Number of long-running runs.
+    long_running_count: usize,
     /// Whether the worker reported its runs under the current fence.
     pub(super) has_reported: bool,
     /// Whether the worker is missing from the registry.
@@ -104,6 +110,10 @@
     /// Finished runs whose results are not stored: the job, and its version with the result.
     unstored_ends: BTreeMap<u64, (JobId, u64)>,
     acknowledged: u64,
+    /// Whether the worker may have changed since it was indexed.
+    pub(super) marked: bool,
+    /// What the index holds of the worker.
+    pub(super) indexed: Option<IndexEntry>,
 }
 
 impl Worker {
@@ -113,6 +123,8 @@
             entry,
             runs: BTreeMap::new(),
             used: Size::default(),
+            long_running: Size::default(),
+            long_running_count: 0,
             has_reported: false,
             unregistered: false,
             unregistered_since: Time::ZERO,
@@ -130,6 +142,8 @@
             last_end: 0,
             unstored_ends: BTreeMap::new(),
             acknowledged: 0,
+            marked: false,
+            indexed: None,
         }
     }
 
@@ -149,15 +163,22 @@
     }
 
     pub(super) fn insert(&mut self, task: TaskId, run: RunState) {
+        self.remove(&task);
         self.used = self.used.plus(run.size);
-        if let Some(old) = self.runs.insert(task, run) {
-            self.used = self.used.minus(old.size);
+        if run.long_running {
+            self.long_running = self.long_running.plus(run.size);
+            self.long_running_count += 1;
         }
+        self.runs.insert(task, run);
     }
 
     pub(super) fn remove(&mut self, task: &TaskId) -> Option<RunState> {
         let run = self.runs.remove(task)?;
         self.used = self.used.minus(run.size);
+        if run.long_running {
+            self.long_running = self.long_running.minus(run.size);
+            self.long_running_count -= 1;
+        }
         Some(run)
     }
 
@@ -165,14 +186,19 @@
         self.entry.capacity.minus(self.used)
     }
 
-    /// Returns whether the worker may get tasks.
-    pub(super) fn accepts_work(&self, now: Time) -> bool {
+    /// Returns whether the worker may get tasks, as far as this does not depend on the time.
+    pub(super) fn is_open(&self) -> bool {
         self.has_reported
             && !self.replaced
-            && !self.deregistered(now)
             && !self.entry.draining
             && !self.cordoned
             && !self.has_unknown_runs
+    }
+
+    /// Returns whether the worker may get tasks.
+    pub(super) fn accepts_work(&self, now: Time) -> bool {
+        self.is_open()
+            && !self.deregistered(now)
             && now.saturating_sub(self.reported_at) < REPORT_TIMEOUT
     }
 
@@ -188,7 +214,7 @@
     }
 
     pub(super) fn has_long_running(&self) -> bool {
-        self.runs.values().any(|run| run.long_running)
+        self.long_running_count > 0
     }
 
     /// Adds a finished run whose result the row of this version will contain.
