--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -1,18 +1,22 @@
 //! Entry that runs on the users' platform.
 //!
 //! The platform's store holds all durable state, so an entry needs neither peers nor a disk.
-//! Every entry watches the configuration and all jobs. The entry that holds the scheduler role
-//! starts tasks and sends orders to machines. All async tasks of an entry run on one thread and
-//! communicate by messages.
+//! Every entry accepts jobs and follows the configuration and the division of the fleet into
+//! partitions. The entry that holds a partition starts its tasks and sends orders to its machines.
+//! All async tasks of an entry run on one thread and communicate by messages.
 
 mod clock;
+mod control;
 mod election;
 mod front;
 mod keys;
+mod known;
+mod load;
+mod message;
 mod metrics;
 mod orders;
-mod replica;
 mod role;
+mod rows;
 mod settings;
 mod watcher;
 mod worker;
@@ -20,6 +24,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -34,11 +39,14 @@
 use slog::warn;
 use wigeonhinge::Time;
 use wigeonhinge::batch::Catalog;
+use wigeonhinge::partition::Partition;
 use wigeonhinge_platform::store::Store;
 
 use crate::listen::runtime;
+use crate::site::control::Control;
+use crate::site::known::KnownJobs;
+use crate::site::load::Loads;
 use crate::site::metrics::Metrics;
-use crate::site::replica::Replica;
 
 pub use crate::site::settings::Settings;
 
@@ -57,12 +65,14 @@
     pub(crate) metrics: Metrics,
     pub(crate) store: Store,
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
-    pub(crate) replica: RefCell<Replica>,
+    pub(crate) control: RefCell<Control>,
+    pub(crate) known_jobs: RefCell<KnownJobs>,
+    pub(crate) loads: Loads,
     pub(crate) health: StoreHealth,
-    /// State of pools and waves that the role holder shows to operators.
-    pub(crate) status: RefCell<serde_json::Value>,
+    /// State of pools and waves of the partitions that this entry holds, for operators.
+    pub(crate) status: RefCell<BTreeMap<Partition, serde_json::Value>>,
     pub(crate) draining: Cell<bool>,
-    /// Notified when the configuration changes, and when the role's key is created or removed.
+    /// Notified when the configuration or a control row changes.
     pub(crate) change: event_listener::Event,
 }
 
@@ -136,9 +146,11 @@
         log: log.clone(),
         metrics: Metrics::new(),
         catalog: RefCell::new(None),
-        replica: RefCell::new(Replica::default()),
+        control: RefCell::new(Control::default()),
+        known_jobs: RefCell::new(KnownJobs::default()),
+        loads: Loads::default(),
         health: StoreHealth::default(),
-        status: RefCell::new(serde_json::json!({ "role": false })),
+        status: RefCell::new(BTreeMap::new()),
         draining: Cell::new(false),
         change: event_listener::Event::new(),
         settings,
@@ -146,20 +158,23 @@
     let server = front::bind(&shared).await?;
     let mut tasks = vec![
         compio::runtime::spawn(watcher::follow_config(Rc::clone(&shared))),
-        compio::runtime::spawn(watcher::follow_jobs(Rc::clone(&shared))),
+        compio::runtime::spawn(watcher::follow_control(Rc::clone(&shared))),
         compio::runtime::spawn(reload(Rc::clone(&shared), path)),
     ];
-    let (resign_tx, resign_rx) = flume::bounded(1);
-    let role = compio::runtime::spawn(election::campaign(Rc::clone(&shared), resign_rx));
+    let roles = compio::runtime::spawn(election::campaign_all(Rc::clone(&shared)));
     compio::signal::unix::signal(SIGTERM)
         .await
         .wrap_err("cannot wait for a signal")?;
     info!(log, "site: told to stop"; "open_requests" => server.open_requests());
     let stop_time = clock::now();
     shared.draining.set(true);
-    // The channel is full only if the signal was sent already.
-    let _ = resign_tx.try_send(());
-    let _ = compio::time::timeout(DRAIN_TIME, role).await;
+    shared.change.notify(usize::MAX);
+    if compio::time::timeout(DRAIN_TIME, roles).await.is_err() {
+        warn!(
+            log,
+            "site: a role was not given up in time; its lease expires by itself"
+        );
+    }
     compio::time::sleep(DRAIN_TIME.saturating_sub(clock::now().saturating_sub(stop_time))).await;
     server.shutdown().await;
     tasks.clear();
@@ -190,7 +205,7 @@
     }
 }
 
-/// Waits until the configuration or the role changes, at most for `timeout`.
+/// Waits until the configuration or a control row changes, at most for `timeout`.
 pub(crate) async fn wait_for_change(shared: &Shared, timeout: Duration) {
     let listener = shared.change.listen();
     let sleep = compio::time::sleep(timeout);
--- a/crates/daemon/src/site/election.rs
+++ b/crates/daemon/src/site/election.rs
@@ -1,5 +1,5 @@
-//! Election of the scheduler role's holder: the role is a key in the store, attached to a lease
-//! that the holder renews.
+//! Election of the holder of a partition: its role is a key in the store, attached to a lease that
+//! the holder renews.
 //!
 //! The revision of the key's creation is the fence of all orders. Workers reject orders with a
 //! lower fence, so a former holder that has not noticed its loss of the role does no harm.
@@ -8,12 +8,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use flume::Receiver;
+use compio::runtime::JoinHandle;
 use flume::Sender;
 use slog::info;
 use slog::warn;
 use wigeonhinge::Time;
 use wigeonhinge::id::Fence;
+use wigeonhinge::partition::Claimant;
+use wigeonhinge::partition::Partition;
+use wigeonhinge::partition::claim_delay;
 use wigeonhinge_platform::store::Commit;
 use wigeonhinge_platform::store::Error;
 use wigeonhinge_platform::store::LeaseId;
@@ -23,9 +26,10 @@
 use crate::site;
 use crate::site::Shared;
 use crate::site::clock;
+use crate::site::control::HolderRow;
 use crate::site::keys;
+use crate::site::message::Message;
 use crate::site::role;
-use crate::site::role::Message;
 
 /// Time to live of the role's lease. It is short so that a successor takes over before the
 /// workers' leases end.
@@ -37,26 +41,19 @@
 /// Time limit for a call about the role's lease or key.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest time between two checks whether the role is vacant.
-const POLL_INTERVAL: Duration = Duration::from_millis(300);
+/// Longest time between two checks whether a partition has no holder.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time for which an entry that gave up the role does not try to acquire it again.
-const REACQUIRE_PAUSE: Duration = Duration::from_millis(2_500);
+/// Time for which an entry that gave up a partition does not claim it again.
+const RECLAIM_PAUSE: Duration = Duration::from_millis(2_500);
 
-/// Cores that the role needs in its busiest seconds; it uses 0.19 cores with 350 workers and
-/// 1,700 rows a second.
-const MIN_CORES: f64 = 0.25;
-
-/// Time for which an entry with fewer than [`MIN_CORES`] cores lets other entries try first. A
-/// takeover after this delay still completes before the workers' leases end.
-const LOW_CORES_DELAY: Duration = Duration::from_millis(400);
-
-/// Term of a role holder.
+/// Term of a partition's holder.
 #[derive(Clone, Debug)]
 pub(super) struct Term {
+    pub(super) partition: Partition,
     pub(super) fence: Fence,
     pub(super) lease: LeaseId,
-    /// Current revision of the role's key.
+    /// Current revision of the partition's chain key.
     pub(super) revision: Revision,
     /// Identifier of the term, which distinguishes its writes from those of other terms.
     pub(super) session: String,
@@ -65,51 +62,86 @@
 }
 
 impl Term {
-    /// Returns the value of the role's key after the write of this number.
-    pub(super) fn key_value(&self, writes: u64) -> Vec<u8> {
+    /// Returns the value of the chain key after the write of this number.
+    pub(super) fn chain_value(&self, writes: u64) -> Vec<u8> {
         format!("{} {writes}", self.session).into_bytes()
     }
 }
 
-/// Tries to acquire the role whenever it is vacant, and runs it while it is held.
-pub(super) async fn campaign(shared: Rc<Shared>, resign_rx: Receiver<()>) {
+/// Claims every partition that has no holder, and runs those that this entry holds.
+pub(super) async fn campaign_all(shared: Rc<Shared>) {
+    let mut campaigns: Vec<JoinHandle<()>> = Vec::new();
+    while !shared.draining.get() {
+        let partitions = shared.control.borrow().topology.partitions();
+        for partition in campaigns.len() as Partition..partitions {
+            let campaign = campaign(Rc::clone(&shared), partition);
+            campaigns.push(compio::runtime::spawn(campaign));
+        }
+        site::wait_for_change(&shared, CHECK_INTERVAL).await;
+    }
+    for campaign in campaigns {
+        if campaign.await.is_err() {
+            warn!(shared.log, "role: a campaign ended with a panic");
+        }
+    }
+}
+
+/// Claims a partition whenever it has no holder, and runs it while this entry holds it.
+async fn campaign(shared: Rc<Shared>, partition: Partition) {
     let mut barred_until = Time::ZERO;
     while !shared.draining.get() {
-        site::wait_for_change(&shared, POLL_INTERVAL).await;
-        if is_vacant(&shared) && shared.settings.cores < MIN_CORES {
-            compio::time::sleep(LOW_CORES_DELAY).await;
+        if !is_vacant(&shared, partition) {
+            site::wait_for_change(&shared, CHECK_INTERVAL).await;
+            continue;
         }
-        let vacant = is_vacant(&shared);
+        compio::time::sleep(delay(&shared, partition)).await;
+        let vacant = is_vacant(&shared, partition);
         let ready = shared.catalog.borrow().is_some() && !shared.health.is_failing();
         if !vacant || !ready || clock::now() < barred_until || shared.draining.get() {
+            site::wait_for_change(&shared, CHECK_INTERVAL).await;
             continue;
         }
-        match acquire(&shared).await {
+        match claim(&shared, partition).await {
             Ok(Some(term)) => {
                 let lease = term.lease;
-                let reason = role::run(&shared, term, &resign_rx).await;
-                info!(shared.log, "role: given up"; "reason" => &reason);
-                barred_until = clock::now() + REACQUIRE_PAUSE;
+                let reason = role::run(&shared, term).await;
+                info!(shared.log, "role: given up"; "partition" => partition, "reason" => &reason);
+                barred_until = clock::now() + RECLAIM_PAUSE;
                 if let Err(error) = shared.store.revoke_lease(lease, CALL_TIMEOUT).await {
                     warn!(shared.log, "role: lease cannot be revoked, it expires by itself";
-                        "error" => %error);
+                        "partition" => partition, "error" => %error);
                 }
             }
-            Ok(None) => {}
+            Ok(None) => site::wait_for_change(&shared, CHECK_INTERVAL).await,
             Err(error) => {
-                warn!(shared.log, "role: cannot be acquired, trying again"; "error" => %error);
+                warn!(shared.log, "role: cannot be taken, trying again";
+                    "partition" => partition, "error" => %error);
                 shared.health.record_failure();
+                site::wait_for_change(&shared, CHECK_INTERVAL).await;
             }
         }
     }
 }
 
-fn is_vacant(shared: &Shared) -> bool {
-    let replica = shared.replica.borrow();
-    replica.loaded && replica.role_revision.is_none()
+fn is_vacant(shared: &Shared, partition: Partition) -> bool {
+    let control = shared.control.borrow();
+    control.loaded && control.topology.holder(partition).is_none()
 }
 
-async fn acquire(shared: &Shared) -> Result<Option<Term>, Error> {
+/// Returns for how long this entry lets others claim a partition first.
+fn delay(shared: &Shared, partition: Partition) -> Duration {
+    let settings = &shared.settings;
+    let control = shared.control.borrow();
+    let claimant = Claimant {
+        entry: &settings.entry,
+        cores: settings.cores,
+        held: control.topology.held_by(&settings.entry),
+        zone_held: control.topology.held_in(&settings.zone),
+    };
+    claim_delay(partition, &claimant)
+}
+
+async fn claim(shared: &Shared, partition: Partition) -> Result<Option<Term>, Error> {
     let started_at = clock::now();
     let (lease, _) = shared
         .store
@@ -117,22 +149,33 @@
         .await?;
     let session = format!("{}-{}", shared.settings.entry, started_at.as_nanos());
     let mut term = Term {
+        partition,
         fence: 0,
         lease,
         revision: 0,
         session,
         renewed: Rc::new(Cell::new(started_at)),
     };
+    let holder = HolderRow {
+        entry: shared.settings.entry.clone(),
+        zone: shared.settings.zone.clone(),
+    };
+    let holder = serde_json::to_vec(&holder);
+    let holder = holder.map_err(|error| Error::NotExecuted(error.to_string()))?;
     let commit = Commit {
-        expect: vec![(keys::ROLE.to_owned(), 0)],
-        writes: vec![(keys::ROLE.to_owned(), term.key_value(0), lease)],
+        expect: vec![(keys::role(partition), 0)],
+        writes: vec![
+            (keys::role(partition), holder, lease),
+            (keys::chain(partition), term.chain_value(0), 0),
+        ],
         removes: Vec::new(),
     };
     match shared.store.commit(&commit, CALL_TIMEOUT).await? {
         Outcome::Done(revision) => {
             term.fence = revision;
             term.revision = revision;
-            info!(shared.log, "role: taken"; "fence" => revision, "lease" => lease);
+            info!(shared.log, "role: taken"; "partition" => partition, "fence" => revision,
+                "lease" => lease);
             Ok(Some(term))
         }
         Outcome::Conflict(_) | Outcome::NoLease => {
@@ -168,7 +211,7 @@
                 shared.health.record_failure();
                 if !std::mem::replace(&mut failing, true) {
                     warn!(shared.log, "role: lease cannot be renewed, trying again";
-                        "error" => %error);
+                        "partition" => term.partition, "error" => %error);
                 }
             }
         }
--- a/crates/daemon/src/site/front.rs
+++ b/crates/daemon/src/site/front.rs
@@ -39,11 +39,14 @@
 use wigeonhinge_platform::callers;
 use wigeonhinge_platform::store::Commit;
 use wigeonhinge_platform::store::Error;
+use wigeonhinge_platform::store::Item;
 use wigeonhinge_platform::store::Outcome;
+use wigeonhinge_platform::store::Revision;
 
 use crate::site::Shared;
 use crate::site::clock;
 use crate::site::keys;
+use crate::site::rows;
 
 const LISTEN_BACKLOG: i32 = 1_024;
 
@@ -253,7 +256,7 @@
 fn readiness_reply(shared: &Shared) -> Reply {
     let reason = if shared.draining.get() {
         "stopping"
-    } else if shared.catalog.borrow().is_none() || !shared.replica.borrow().loaded {
+    } else if shared.catalog.borrow().is_none() || !shared.control.borrow().loaded {
         "no configuration yet"
     } else if shared.health.time_since_response() > UNREADY_SILENCE {
         "the store does not answer"
@@ -267,11 +270,22 @@
 fn operator_reply(shared: &Shared, path: &str) -> Reply {
     match path {
         "/metrics" => Reply::new(StatusCode::OK, shared.metrics.render()),
-        "/status" => Reply::new(StatusCode::OK, shared.status.borrow().to_string()),
+        "/status" => Reply::new(StatusCode::OK, status_text(shared)),
         _ => Reply::error(StatusCode::NOT_FOUND, "/metrics or /status"),
     }
 }
 
+fn status_text(shared: &Shared) -> String {
+    let status = shared.status.borrow();
+    let control = shared.control.borrow();
+    serde_json::json!({
+        "role": !status.is_empty(),
+        "partition_count": control.topology.partitions(),
+        "partitions": *status,
+    })
+    .to_string()
+}
+
 async fn handle_caller(shared: &Shared, request: Request<Incoming>) -> Reply {
     let received_at = clock::now();
     let Some(catalog) = shared.catalog.borrow().clone() else {
@@ -285,10 +299,7 @@
     };
     let id = path[queue.prefix.len()..].trim_end_matches('/').to_owned();
     match *request.method() {
-        Method::GET if id.is_empty() => {
-            let waiting = shared.replica.borrow().count_pending(&queue.name);
-            Reply::new(StatusCode::OK, callers::encode_waiting(waiting))
-        }
+        Method::GET if id.is_empty() => count_waiting(shared, &queue.name).await,
         _ if !is_valid_id(&id) => Reply::error(StatusCode::NOT_FOUND, "no such job"),
         Method::GET => get_job(shared, &id).await,
         Method::DELETE => cancel_job(shared, &id, received_at, time_budget(&request)).await,
@@ -330,29 +341,43 @@
         Ok(job) => job,
         Err(reason) => return Reply::error(StatusCode::BAD_REQUEST, &reason),
     };
-    if shared.replica.borrow().job(id).is_some() {
+    if shared.known_jobs.borrow().phase(id).is_some() {
         return Reply::new(StatusCode::OK, "{}");
     }
+    let partition = shared.control.borrow().topology.choose(id, &job.steps);
     let row = JobRow {
         id: id.into(),
+        partition,
         queue: queue.name.clone(),
         pool: queue.pool.clone(),
         accepted_ms: clock::wall_ms(),
         job,
     };
-    let value = match serde_json::to_vec(&row) {
-        Ok(value) => value,
-        Err(error) => return Reply::error(StatusCode::BAD_REQUEST, &error.to_string()),
+    let state = StateRow {
+        phase: Phase::Pending,
+        queue: queue.name.clone(),
+        partition,
+        ended_ms: None,
+    };
+    let (row, state) = match (rows::encode(&row), rows::encode(&state)) {
+        (Ok(row), Ok(state)) => (row, state),
+        (Err(error), _) | (_, Err(error)) => return Reply::error(StatusCode::BAD_REQUEST, &error),
     };
+    // The state's key is the same for every partition, so a job is accepted once, whichever entry a
+    // repeated request reaches and whatever it knows of the partitions.
     let commit = Commit {
-        expect: vec![(keys::job(id), 0), (keys::state(id), 0)],
-        writes: vec![(keys::job(id), value, 0)],
+        expect: vec![(keys::state(id), 0)],
+        writes: vec![
+            (keys::job(partition, id), row, 0),
+            (keys::state(id), state, 0),
+        ],
         removes: Vec::new(),
     };
     match commit_with_retry(shared, &commit, deadline).await {
-        WriteOutcome::Done | WriteOutcome::Conflict => {
-            shared.replica.borrow_mut().record_job(&row);
-            info!(shared.log, "front: job accepted"; "job" => id, "queue" => %queue.name);
+        WriteOutcome::Done | WriteOutcome::Conflict(_) => {
+            shared.known_jobs.borrow_mut().record(id, Phase::Pending);
+            info!(shared.log, "front: job accepted"; "job" => id, "queue" => %queue.name,
+                "partition" => partition);
             Reply::new(StatusCode::OK, "{}")
         }
         WriteOutcome::Refused(reason) => {
@@ -366,10 +391,22 @@
     }
 }
 
+async fn count_waiting(shared: &Shared, queue: &str) -> Reply {
+    match shared.loads.pending(shared, queue).await {
+        Ok(count) => Reply::new(StatusCode::OK, callers::encode_waiting(count)),
+        Err(reason) => {
+            warn!(shared.log, "front: waiting jobs cannot be counted"; "queue" => queue,
+                "reason" => &reason);
+            Reply::refusal("the number of waiting jobs is not known")
+        }
+    }
+}
+
 /// Outcome of a conditional write.
 enum WriteOutcome {
     Done,
-    Conflict,
+    /// A condition did not hold; the current items of the keys in the conditions.
+    Conflict(Vec<Item>),
     /// The write was not executed and will not be.
     Refused(String),
     Unknown,
@@ -397,7 +434,8 @@
                 shared.health.record_success();
                 return match outcome {
                     Outcome::Done(_) => WriteOutcome::Done,
-                    Outcome::Conflict(_) | Outcome::NoLease => WriteOutcome::Conflict,
+                    Outcome::Conflict(items) => WriteOutcome::Conflict(items),
+                    Outcome::NoLease => WriteOutcome::Conflict(Vec::new()),
                 };
             }
             Err(Error::NotExecuted(reason)) if !maybe_executed => {
@@ -415,67 +453,72 @@
 }
 
 async fn get_job(shared: &Shared, id: &str) -> Reply {
-    if let Some(job) = shared.replica.borrow().job(id) {
-        return Reply::new(StatusCode::OK, callers::encode_state(job.visible_phase()));
+    let known = shared.known_jobs.borrow().phase(id);
+    if let Some(phase) = known.filter(|phase| phase.terminal()) {
+        return Reply::new(StatusCode::OK, callers::encode_state(phase));
     }
-    match read_phase(shared, id).await {
-        Ok(Some(phase)) => Reply::new(StatusCode::OK, callers::encode_state(phase)),
+    match read_state(shared, id).await {
+        Ok(Some((row, _))) => Reply::new(StatusCode::OK, callers::encode_state(row.phase)),
         Ok(None) => Reply::error(StatusCode::GONE, "no such job"),
         Err(error) => {
             warn!(shared.log, "front: job's state cannot be read from the store";
-                "job" => id, "error" => %error);
-            Reply::refusal("the store does not answer")
+                "job" => id, "error" => %error, "known" => ?known);
+            match known {
+                // The job was not ended when it was last looked at.
+                Some(phase) => Reply::new(StatusCode::OK, callers::encode_state(phase)),
+                None => Reply::refusal("the store does not answer"),
+            }
         }
     }
 }
 
-/// Reads a job's phase from the store; returns `None` if the job does not exist.
-async fn read_phase(shared: &Shared, id: &str) -> Result<Option<Phase>, Error> {
-    if let Some(item) = shared.store.get(&keys::state(id), READ_TIMEOUT).await? {
-        let row: Result<StateRow, _> = serde_json::from_slice(&item.value);
-        return match row {
-            Ok(row) => Ok(Some(row.phase)),
-            Err(error) => Err(Error::Unknown(error.to_string())),
-        };
-    }
-    let item = shared.store.get(&keys::job(id), READ_TIMEOUT).await?;
-    Ok(item.map(|_| Phase::Pending))
+/// Reads a job's state with its revision; returns `None` if the job does not exist.
+async fn read_state(shared: &Shared, id: &str) -> Result<Option<(StateRow, Revision)>, Error> {
+    let Some(item) = shared.store.get(&keys::state(id), READ_TIMEOUT).await? else {
+        return Ok(None);
+    };
+    let row: StateRow = rows::decode(&item.value).map_err(Error::Unknown)?;
+    shared.known_jobs.borrow_mut().record(id, row.phase);
+    Ok(Some((row, item.revision)))
 }
 
+/// Stores a cancellation on the condition that the job has not ended.
 async fn cancel_job(shared: &Shared, id: &str, received_at: Time, budget: Duration) -> Reply {
-    let replicated = shared.replica.borrow().job(id).map(|it| it.visible_phase());
-    let phase = match replicated {
-        Some(phase) => Some(phase),
-        None => match read_phase(shared, id).await {
-            Ok(phase) => phase,
+    let deadline = received_at + budget;
+    loop {
+        let (row, revision) = match read_state(shared, id).await {
+            Ok(Some(state)) => state,
+            Ok(None) => return Reply::error(StatusCode::GONE, "no such job"),
             Err(error) => {
                 warn!(shared.log, "front: job's state cannot be read from the store";
                     "job" => id, "error" => %error);
                 return Reply::refusal("the store does not answer");
             }
-        },
-    };
-    match phase {
-        Some(Phase::Canceled) => return Reply::new(StatusCode::OK, "{}"),
-        None | Some(Phase::Completed | Phase::Failed) => {
-            return Reply::error(StatusCode::GONE, "no such job or already ended");
-        }
-        Some(Phase::Pending | Phase::Active) => {}
-    }
-    let commit = Commit {
-        expect: vec![(keys::cancel(id), 0)],
-        writes: vec![(keys::cancel(id), b"{}".to_vec(), 0)],
-        removes: Vec::new(),
-    };
-    match commit_with_retry(shared, &commit, received_at + budget).await {
-        WriteOutcome::Done | WriteOutcome::Conflict => {
-            shared.replica.borrow_mut().record_cancellation(id);
-            info!(shared.log, "front: job cancelled"; "job" => id);
-            Reply::new(StatusCode::OK, "{}")
+        };
+        match row.phase {
+            Phase::Canceled => return Reply::new(StatusCode::OK, "{}"),
+            Phase::Completed | Phase::Failed => {
+                return Reply::error(StatusCode::GONE, "the job has already ended");
+            }
+            Phase::Pending | Phase::Active => {}
         }
-        WriteOutcome::Refused(reason) => Reply::refusal(&reason),
-        WriteOutcome::Unknown => {
-            Reply::error(StatusCode::GATEWAY_TIMEOUT, "the outcome is unknown")
+        let key = keys::cancel(row.partition, id);
+        let commit = Commit {
+            expect: vec![(key.clone(), 0), (keys::state(id), revision)],
+            writes: vec![(key.clone(), b"{}".to_vec(), 0)],
+            removes: Vec::new(),
+        };
+        match commit_with_retry(shared, &commit, deadline).await {
+            WriteOutcome::Done => {}
+            WriteOutcome::Conflict(items) if items.iter().any(|item| item.key == key) => {}
+            // The state has changed in the meantime.
+            WriteOutcome::Conflict(_) => continue,
+            WriteOutcome::Refused(reason) => return Reply::refusal(&reason),
+            WriteOutcome::Unknown => {
+                return Reply::error(StatusCode::GATEWAY_TIMEOUT, "the outcome is unknown");
+            }
         }
+        info!(shared.log, "front: job cancelled"; "job" => id);
+        return Reply::new(StatusCode::OK, "{}");
     }
 }
--- a/crates/daemon/src/site/orders.rs
+++ b/crates/daemon/src/site/orders.rs
@@ -12,20 +12,27 @@
 use slog::warn;
 use wigeonhinge::Time;
 use wigeonhinge::batch::Event;
-use wigeonhinge::id::Fence;
-use wigeonhinge::id::VmId;
 use wigeonhinge_platform::machines::MachineClient;
-use wigeonhinge_platform::machines::Order;
 
 use crate::site::clock;
-use crate::site::role::Message;
+use crate::site::message::MachineOrder;
+use crate::site::message::Message;
 
 /// Time limit for a call to the service that manages machines.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Time between two polls of the list.
+/// Shortest time between two polls of the list.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Longest time between two polls of the list.
+const MAX_POLL_INTERVAL: Duration = Duration::from_millis(1_600);
+
+/// Share of the link that polls of the list may use.
+const POLL_LINK_SHARE: f64 = 0.05;
+
+/// Size of a machine in the list, in bits.
+const MACHINE_BITS: f64 = 1_600.0;
+
 /// Age of the role's last renewal up to which orders are sent.
 ///
 /// A successor waits longer than this before it sends orders to recently ordered machines.
@@ -42,7 +49,7 @@
 /// Rate limiter that keeps orders within the number that the service accepts a second.
 #[derive(Debug)]
 pub(super) struct RateLimiter {
-    interval: Duration,
+    interval: Cell<Duration>,
     next_slot: Cell<Time>,
 }
 
@@ -50,18 +57,24 @@
     /// Creates a limiter for a number of orders a second.
     pub(super) fn new(per_s: f64) -> Self {
         Self {
-            interval: Duration::from_secs_f64(1.0 / per_s),
+            interval: Cell::new(Duration::from_secs_f64(1.0 / per_s)),
             next_slot: Cell::new(Time::ZERO),
         }
     }
 
+    /// Changes the number of orders a second.
+    pub(super) fn set_rate(&self, per_s: f64) {
+        self.interval.set(Duration::from_secs_f64(1.0 / per_s));
+    }
+
     async fn wait_for_slot(&self) {
         let now = clock::now();
+        let interval = self.interval.get();
         let slot = self
             .next_slot
             .get()
-            .max(now.saturating_sub(BURST_ORDERS * self.interval));
-        self.next_slot.set(slot + self.interval);
+            .max(now.saturating_sub(BURST_ORDERS * interval));
+        self.next_slot.set(slot + interval);
         if slot > now {
             compio::time::sleep(slot - now).await;
         }
@@ -69,19 +82,25 @@
 }
 
 /// Polls the list of machines and reports it to the role.
+///
+/// A long list is polled less often on a slow link.
 pub(super) async fn poll_machines(
     address: SocketAddr,
-    holder: String,
+    (holder, link_mbps): (String, f64),
     log: Logger,
     inbox: Sender<Message>,
 ) {
     let mut machines = MachineClient::new(address, &holder);
     let mut failing = false;
+    let mut interval = POLL_INTERVAL;
     loop {
         match machines.list(CALL_TIMEOUT).await {
             Ok(list) => {
                 failing = false;
-                if inbox.send(Message::Event(Event::Machines(list))).is_err() {
+                let bits = list.len() as f64 * MACHINE_BITS;
+                let time = Duration::from_secs_f64(bits / (link_mbps * 1e6 * POLL_LINK_SHARE));
+                interval = time.clamp(POLL_INTERVAL, MAX_POLL_INTERVAL);
+                if inbox.send(Message::Machines(list)).is_err() {
                     return;
                 }
             }
@@ -92,7 +111,7 @@
                 failing = true;
             }
         }
-        compio::time::sleep(POLL_INTERVAL).await;
+        compio::time::sleep(interval).await;
     }
 }
 
@@ -100,13 +119,13 @@
 /// too old to be sure that the lease is still held.
 pub(super) async fn send_orders(
     (address, holder): (SocketAddr, String),
-    (fence, renewed, limiter): (Fence, Rc<Cell<Time>>, Rc<RateLimiter>),
-    orders: Receiver<(VmId, Order)>,
+    (renewed, limiter): (Rc<Cell<Time>>, Rc<RateLimiter>),
+    orders: Receiver<MachineOrder>,
     log: Logger,
     inbox: Sender<Message>,
 ) {
     let mut machines = MachineClient::new(address, &holder);
-    while let Ok((machine, order)) = orders.recv_async().await {
+    while let Ok((machine, order, fence)) = orders.recv_async().await {
         limiter.wait_for_slot().await;
         let age = clock::now().saturating_sub(renewed.get());
         let done = if age > MAX_RENEWAL_AGE {
--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -1,5 +1,7 @@
-//! Holder of the scheduler role: passes events to [`Batch`] and executes the actions it returns.
+//! Holder of a partition: passes events to [`Batch`] and executes the actions it returns.
 
+mod load;
+mod racks;
 mod registry;
 mod restore;
 mod status;
@@ -26,26 +28,30 @@
 use wigeonhinge::batch::WorkerEntry;
 use wigeonhinge::batch::WorkerId;
 use wigeonhinge::id::VmId;
+use wigeonhinge::partition::Ownership;
 use wigeonhinge_platform::machines;
 use wigeonhinge_platform::store::Change;
 use wigeonhinge_platform::store::Item;
-use wigeonhinge_platform::store::Revision;
 
 use crate::site::Shared;
 use crate::site::clock;
 use crate::site::election;
 use crate::site::election::Term;
 use crate::site::keys;
+use crate::site::message::KeyValue;
+use crate::site::message::MachineOrder;
+use crate::site::message::Message;
+use crate::site::message::WriteContent;
 use crate::site::orders;
+use crate::site::orders::RateLimiter;
+use crate::site::role::racks::KnownMachine;
 use crate::site::role::restore::Snapshot;
 use crate::site::role::status::LoadStats;
-use crate::site::role::waves::WaveRow;
-use crate::site::watcher::CALL_TIMEOUT;
+use crate::site::role::waves::ActiveWave;
+use crate::site::rows;
 use crate::site::worker;
 use crate::site::worker::Handle;
 use crate::site::writer;
-use crate::site::writer::KeyValue;
-use crate::site::writer::WriteContent;
 
 /// Time between two ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -59,32 +65,20 @@
 /// Most ended jobs whose states one write removes; the limit leaves room for other entries.
 const MAX_EXPIRED: usize = 16;
 
-/// Pause after a failed read of the store at the start of a term.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Most keys of cancellations without effect that one write removes.
+const MAX_REMOVES: usize = 8;
+
+/// Most rows other than those of jobs in one write.
+const MAX_EXTRA_ROWS: usize = 20;
+
+/// Longest time for which a holder that stops waits for its last write.
+const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time for which a holder may reach at most half of the workers before it gives up the role.
 const MAX_ISOLATION: Duration = Duration::from_millis(1_500);
 
-/// Message from the async tasks of the role.
-#[derive(Debug)]
-pub(super) enum Message {
-    /// Jobs were accepted or cancelled.
-    InputChanges(Vec<Change>),
-    /// All accepted jobs and cancellations.
-    InputSnapshot(Vec<Item>),
-    /// Registry entries of workers changed.
-    WorkerChanges(Vec<Change>),
-    /// All registry entries of workers.
-    WorkerSnapshot(Vec<Item>),
-    /// Operators requested waves.
-    Waves(Vec<Item>),
-    /// An event for the scheduler.
-    Event(Event),
-    /// A write was executed; the role's key now has this revision.
-    Written(WriteContent, Revision),
-    /// The role is lost, for this reason.
-    Lost(String),
-}
+/// Time without a renewal after which a holder that still reads the state of its partition gives up.
+const MAX_RENEWAL_AGE: Duration = Duration::from_secs(6);
 
 struct Role {
     shared: Rc<Shared>,
@@ -93,13 +87,19 @@
     inbox: Sender<Message>,
     registry: BTreeMap<String, WorkerEntry>,
     workers: BTreeMap<WorkerId, Handle>,
-    waves: BTreeMap<u64, WaveRow>,
+    /// Machines of the platform's last list, of all partitions.
+    machines: BTreeMap<VmId, KnownMachine>,
+    ownership: Ownership,
+    waves: BTreeMap<u64, ActiveWave>,
     extra_rows: Vec<KeyValue>,
-    machine_orders: Sender<(VmId, machines::Order)>,
+    /// Keys to remove with the next write.
+    removes: Vec<String>,
+    machine_orders: Sender<MachineOrder>,
+    order_limiter: Rc<RateLimiter>,
     /// Log of recent machine orders.
     order_log: OrderLog,
     /// Machine orders whose record is not yet part of a write.
-    pending_orders: Vec<(VmId, machines::Order)>,
+    pending_orders: Vec<MachineOrder>,
     ticks: u64,
     load_stats: LoadStats,
     write_in_flight: bool,
@@ -108,6 +108,9 @@
     write_count: u64,
     may_extend: Rc<Cell<bool>>,
     catalog_version: u64,
+    /// Version of the control rows that were applied last.
+    control_version: u64,
+    started_at: Time,
     /// Time since which too few workers respond.
     isolated_since: Option<Time>,
     lost_reason: Option<String>,
@@ -115,36 +118,29 @@
 }
 
 /// Runs the role until it is lost or given up; returns the reason.
-pub(super) async fn run(shared: &Rc<Shared>, term: Term, resign_rx: &Receiver<()>) -> String {
+pub(super) async fn run(shared: &Rc<Shared>, term: Term) -> String {
     let started = clock::now();
+    let partition = term.partition;
     let (inbox, messages) = flume::unbounded();
     let renewal = election::keep_lease(Rc::clone(shared), term.clone(), inbox.clone());
     let renewal = compio::runtime::spawn(renewal);
-    let snapshot = loop {
-        match restore::load(shared).await {
-            Ok(snapshot) => break snapshot,
-            Err(error) => {
-                warn!(shared.log, "role: jobs cannot be read, trying again"; "error" => %error);
-                compio::time::sleep(RETRY_PAUSE).await;
-            }
-        }
-        if clock::now().saturating_sub(term.renewed.get()) > 4 * MAX_ISOLATION {
-            return "the jobs cannot be read from the store".into();
-        }
+    let snapshot = match restore::load(shared, &term, &messages).await {
+        Ok(snapshot) => snapshot,
+        Err(reason) => return reason,
     };
     let mut role = Role::new(shared, term, snapshot, inbox);
     role._tasks.push(renewal);
-    info!(shared.log, "role: at work"; "fence" => role.term.fence,
+    info!(shared.log, "role: at work"; "partition" => partition, "fence" => role.term.fence,
         "after_ms" => (clock::now() - started).as_millis() as u64);
     shared.metrics.increment("role.taken");
     shared
         .metrics
         .record_time("role.takeover", clock::now() - started);
-    let reason = role.run_loop(&messages, resign_rx).await;
-    *shared.status.borrow_mut() = serde_json::json!({ "role": false });
+    let reason = role.run_loop(&messages).await;
+    shared.status.borrow_mut().remove(&partition);
     while role.write_in_flight && shared.draining.get() {
         // The caller revokes the lease next, which lets a successor start; wait for the last write.
-        match compio::time::timeout(CALL_TIMEOUT, messages.recv_async()).await {
+        match compio::time::timeout(LAST_WRITE_TIMEOUT, messages.recv_async()).await {
             Ok(Ok(Message::Written(..))) => role.write_in_flight = false,
             Ok(Ok(_)) => {}
             Ok(Err(_)) | Err(_) => break,
@@ -162,16 +158,16 @@
         let catalog = catalog.map(|it| (*it).clone()).unwrap_or_default();
         let version = catalog.version;
         let (machine_orders, order_queue) = flume::unbounded();
-        let mut tasks = restore::watches(shared, &snapshot, &inbox);
+        let mut tasks = restore::watches(shared, &term, &snapshot, &inbox);
+        let order_limiter = Rc::new(RateLimiter::new(shared.settings.machine_orders));
         if let Some(address) = shared.settings.machines {
             let holder = shared.settings.entry.to_string();
             let log = shared.log.clone();
-            let poll = orders::poll_machines(address, holder.clone(), log.clone(), inbox.clone());
+            let link = (holder.clone(), shared.settings.link_mbps);
+            let poll = orders::poll_machines(address, link, log.clone(), inbox.clone());
             tasks.push(compio::runtime::spawn(poll));
-            let limiter = Rc::new(orders::RateLimiter::new(shared.settings.machine_orders));
             for _ in 0..orders::CONNECTIONS {
-                let renewed = Rc::clone(&term.renewed);
-                let authority = (term.fence, renewed, Rc::clone(&limiter));
+                let authority = (Rc::clone(&term.renewed), Rc::clone(&order_limiter));
                 let service = (address, holder.clone());
                 let send = orders::send_orders(
                     service,
@@ -183,6 +179,7 @@
                 tasks.push(compio::runtime::spawn(send));
             }
         }
+        let ownership = Ownership::new(term.partition, term.fence);
         let mut role = Self {
             shared: Rc::clone(shared),
             batch: Batch::new(bounds, catalog, epoch_ms, now),
@@ -190,9 +187,13 @@
             inbox,
             registry: BTreeMap::new(),
             workers: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            ownership,
             waves: BTreeMap::new(),
             extra_rows: Vec::new(),
+            removes: Vec::new(),
             machine_orders,
+            order_limiter,
             order_log: OrderLog::default(),
             pending_orders: Vec::new(),
             ticks: 0,
@@ -202,15 +203,18 @@
             write_count: 0,
             may_extend: Rc::new(Cell::new(true)),
             catalog_version: version,
+            control_version: 0,
+            started_at: now,
             isolated_since: None,
             lost_reason: None,
             _tasks: tasks,
         };
         role.restore(snapshot, now);
+        role.sync_control();
         role
     }
 
-    async fn run_loop(&mut self, messages: &Receiver<Message>, resign_rx: &Receiver<()>) -> String {
+    async fn run_loop(&mut self, messages: &Receiver<Message>) -> String {
         let mut next_tick = clock::now() + TICK_INTERVAL;
         loop {
             let wait = next_tick.saturating_sub(clock::now());
@@ -234,7 +238,7 @@
             if let Some(reason) = self.lost_reason.take() {
                 return reason;
             }
-            if resign_rx.try_recv().is_ok() || self.shared.draining.get() {
+            if self.shared.draining.get() {
                 return "the entry is stopping".into();
             }
         }
@@ -252,7 +256,8 @@
             }
             Message::InputSnapshot(items) => {
                 // Apply jobs first: a cancellation of an unknown job has no effect.
-                let cancel = |item: &&Item| item.key.starts_with(keys::CANCELS);
+                let cancels = keys::cancel(self.term.partition, "");
+                let cancel = |item: &&Item| item.key.starts_with(&cancels);
                 items
                     .iter()
                     .filter(|item| !cancel(item))
@@ -265,6 +270,9 @@
             Message::WorkerChanges(changes) => self.update_workers(changes),
             Message::WorkerSnapshot(items) => self.replace_workers(items),
             Message::Waves(items) => self.apply_waves(items),
+            Message::OldStates(items) => self.restore_states(items),
+            Message::WaveProgress(items) => self.complete_waves(items),
+            Message::Machines(list) => self.update_machines(list),
             Message::Event(event) => self.handle_event(event),
             Message::Written(content, revision) => {
                 self.write_in_flight = false;
@@ -281,13 +289,6 @@
                     // The receivers live as long as this role.
                     let _ = self.machine_orders.send(order);
                 }
-                let mut replica = self.shared.replica.borrow_mut();
-                for write in &writes {
-                    if let Some(state) = &write.state {
-                        replica.record_state(&write.job, state);
-                    }
-                }
-                drop(replica);
                 let actions = self.batch.confirm_writes(&writes, clock::now());
                 self.execute(actions);
             }
@@ -296,15 +297,12 @@
     }
 
     fn handle_event(&mut self, event: Event) {
-        if let Event::Machines(_) = event {
-            self.apply(event);
-            self.drop_stale_handles();
-        } else if let Event::OrderAnswered(machine, true) = &event {
+        if let Event::OrderAnswered(machine, true) = &event {
             self.order_log.answered(machine, clock::now());
             self.apply(event);
             let numbers: Vec<u64> = self.waves.keys().copied().collect();
             for number in numbers {
-                self.store_wave(number, false);
+                self.store_wave(number);
             }
         } else {
             self.apply(event);
@@ -312,14 +310,33 @@
     }
 
     fn handle_input(&mut self, item: &Item) {
-        if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
-            self.apply(Event::Cancel(id.into()));
+        let prefix = keys::inputs(self.term.partition);
+        let name = item.key.strip_prefix(&prefix).unwrap_or_default();
+        if let Some(id) = name.strip_prefix(keys::CANCEL) {
+            if self.batch.has_job(id) {
+                self.apply(Event::Cancel(id.into()));
+            } else {
+                // The job ended before its cancellation was read.
+                self.removes.push(item.key.clone());
+            }
             return;
         }
-        match serde_json::from_slice::<JobRow>(&item.value) {
+        match rows::decode::<JobRow>(&item.value) {
             Ok(row) => self.apply(Event::Accept(row)),
-            Err(error) => self.log_invalid(&item.key, &error.to_string()),
+            Err(error) => self.log_invalid(&item.key, &error),
+        }
+    }
+
+    /// Applies changes of racks and of the plans of waves.
+    fn sync_control(&mut self) {
+        let version = self.shared.control.borrow().version;
+        if version == self.control_version {
+            return;
         }
+        self.control_version = version;
+        self.sync_racks();
+        self.plan_waves();
+        self.apply_plans();
     }
 
     fn tick(&mut self) {
@@ -331,8 +348,12 @@
         }
         self.apply(Event::Tick);
         self.ticks += 1;
+        self.sync_control();
         if self.ticks.is_multiple_of(STATUS_TICKS) {
             self.publish_status();
+            self.publish_load();
+            self.divide();
+            self.advance_plans();
         }
         let now = clock::now();
         let (heard, expected) = self.batch.count_responsive(now);
@@ -391,7 +412,7 @@
                 Action::Maintain { machine, wave } => {
                     self.record_order(machine, machines::Order::Maintain(wave));
                 }
-                Action::Publish { wave, completed } => self.store_wave(wave, completed),
+                Action::Publish { wave, .. } => self.part_completed(wave),
                 Action::Log(line) => info!(self.shared.log, "{}", line),
             }
         }
@@ -404,8 +425,9 @@
         let row = self.order_log.row(bounds(&self.shared).order_lease, now);
         match serde_json::to_vec(&row) {
             Ok(value) => {
-                self.pending_orders.push((machine, order));
-                self.queue_row(keys::ORDERS.to_owned(), value);
+                let fence = self.machine_fence(&machine);
+                self.pending_orders.push((machine, order, fence));
+                self.queue_row(keys::orders(self.term.partition), value);
             }
             Err(error) => {
                 // An order must not be sent without a stored record.
@@ -431,9 +453,15 @@
         if self.write_in_flight {
             return;
         }
+        // Orders are sent once the write with their record is stored.
+        let orders = keys::orders(self.term.partition);
+        self.extra_rows.sort_by_key(|(key, _)| *key != orders);
+        let extra = self.extra_rows.len().min(MAX_EXTRA_ROWS);
+        let removes = self.removes.len().min(MAX_REMOVES);
         let mut content = WriteContent {
-            extra_rows: std::mem::take(&mut self.extra_rows),
+            extra_rows: self.extra_rows.drain(..extra).collect(),
             orders: std::mem::take(&mut self.pending_orders),
+            removes: self.removes.drain(..removes).collect(),
             ..WriteContent::default()
         };
         while content.has_room() {
@@ -442,7 +470,7 @@
                 None => break,
             }
         }
-        if content.writes.is_empty() {
+        if content.writes.is_empty() && content.removes.is_empty() {
             content.expired = self.batch.take_expired(MAX_EXPIRED, clock::now());
         }
         if content.is_empty() {
--- /dev/null
+++ b/crates/daemon/src/site/role/racks.rs
@@ -0,0 +1,215 @@
+//! Racks of the partition: its workers and machines, and racks that pass to other partitions.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use slog::info;
+use slog::warn;
+use wigeonhinge::batch::Event;
+use wigeonhinge::batch::Machine;
+use wigeonhinge::batch::WorkerEntry;
+use wigeonhinge::id::Fence;
+use wigeonhinge::id::PoolId;
+use wigeonhinge::id::RackId;
+use wigeonhinge::id::VmId;
+use wigeonhinge::partition::FIRST;
+use wigeonhinge::partition::LayoutRow;
+use wigeonhinge::partition::Limits;
+use wigeonhinge::partition::Partition;
+use wigeonhinge::partition::RackLoad;
+use wigeonhinge::partition::RackRow;
+use wigeonhinge::partition::partition_count;
+use wigeonhinge::partition::racks_to_give;
+
+use crate::site::clock;
+use crate::site::keys;
+use crate::site::role::Role;
+
+/// Time from the start of a term until its holder changes the number of partitions.
+const LAYOUT_DELAY: Duration = Duration::from_secs(2);
+
+/// Machine of any partition.
+#[derive(Debug)]
+pub(super) struct KnownMachine {
+    rack: RackId,
+}
+
+impl Role {
+    /// Returns whether a rack belongs to this partition.
+    pub(super) fn owns(&self, rack: &str) -> bool {
+        let control = self.shared.control.borrow();
+        self.ownership.includes(rack, &control.topology)
+    }
+
+    fn owner(&self, rack: &str) -> Partition {
+        self.shared.control.borrow().topology.owner(rack).0
+    }
+
+    /// Returns the partition of a machine; a machine that is not listed counts as one of the first.
+    pub(super) fn machine_owner(&self, machine: &VmId) -> Partition {
+        let known = self.machines.get(machine);
+        known.map_or(FIRST, |it| self.owner(&it.rack))
+    }
+
+    /// Returns the fence of orders to a rack.
+    pub(super) fn rack_fence(&self, rack: &str) -> Fence {
+        let control = self.shared.control.borrow();
+        self.ownership.fence(rack, &control.topology)
+    }
+
+    pub(super) fn machine_fence(&self, machine: &VmId) -> Fence {
+        let known = self.machines.get(machine);
+        known.map_or(self.term.fence, |it| self.rack_fence(&it.rack))
+    }
+
+    /// Passes the machines of this partition to the scheduler.
+    pub(super) fn update_machines(&mut self, list: Vec<Machine>) {
+        let machines = list.iter().map(|it| {
+            let rack = it.rack.clone();
+            (it.id.clone(), KnownMachine { rack })
+        });
+        self.machines = machines.collect();
+        let (own, foreign): (Vec<Machine>, Vec<Machine>) =
+            list.into_iter().partition(|it| self.owns(&it.rack));
+        let foreign: BTreeSet<VmId> = foreign.into_iter().map(|it| it.id).collect();
+        self.apply(Event::ForeignMachines(foreign));
+        self.apply(Event::Machines(own));
+        self.drop_stale_handles();
+        self.plan_waves();
+    }
+
+    /// Adopts the workers of racks that were given to this partition.
+    pub(super) fn sync_racks(&mut self) {
+        let partitions = {
+            let control = self.shared.control.borrow();
+            self.ownership.update(&control.topology);
+            control.topology.partitions()
+        };
+        let entries: Vec<WorkerEntry> = self.registry.values().cloned().collect();
+        for entry in entries {
+            if self.owns(&entry.rack) && !self.batch.has_worker(&entry.id) {
+                self.apply(Event::WorkerRegistered(entry.clone()));
+                self.connect(&entry);
+            }
+        }
+        let rate = self.shared.settings.machine_orders / f64::from(partitions);
+        self.order_limiter.set_rate(rate);
+    }
+
+    /// Decides the number of partitions, and gives racks to partitions with fewer workers.
+    pub(super) fn divide(&mut self) {
+        let partitions = self.shared.control.borrow().topology.partitions();
+        if self.term.partition == FIRST {
+            self.update_layout(partitions);
+        }
+        if partitions > 1 && !self.ownership.is_giving() {
+            self.give_racks(partitions);
+        }
+    }
+
+    /// Raises the number of partitions if the fleet has outgrown it.
+    fn update_layout(&mut self, partitions: u32) {
+        let settings = &self.shared.settings;
+        let limits = Limits {
+            cores: settings.cores,
+            link_mbps: settings.link_mbps,
+        };
+        let machines = self.machines.len().max(self.registry.len());
+        let wanted = partition_count(machines, limits);
+        let new = clock::now().saturating_sub(self.started_at) < LAYOUT_DELAY;
+        if wanted <= partitions || new {
+            return;
+        }
+        info!(self.shared.log, "partitions: number changed"; "partitions" => wanted,
+            "before" => partitions, "machines" => machines);
+        let row = LayoutRow { partitions: wanted };
+        self.queue_json(keys::LAYOUT.to_owned(), &row);
+    }
+
+    fn give_racks(&mut self, partitions: u32) {
+        let mut racks = self.rack_loads();
+        if self.term.partition == FIRST {
+            self.record_racks(&racks);
+        }
+        // Whether a rack is idle is looked up only if racks would be given at all.
+        if self.gifts(partitions, &racks).is_empty() {
+            return;
+        }
+        let now = clock::now();
+        for load in racks.values_mut().filter(|it| it.idle) {
+            let workers = self.batch.workers_in(&load.rack);
+            let mut handles = workers.iter().filter_map(|id| self.workers.get(id));
+            load.idle = handles.all(|it| it.is_settled()) && self.batch.rack_idle(&load.rack, now);
+        }
+        for (rack, partition) in self.gifts(partitions, &racks) {
+            info!(self.shared.log, "partitions: rack is given"; "rack" => %rack,
+                "from" => self.term.partition, "to" => partition);
+            let labels = self.rack_labels(&rack);
+            self.batch.release_rack(&rack);
+            self.queue_json(keys::rack(&rack), &RackRow { partition, labels });
+            self.ownership.give(rack);
+        }
+        self.drop_stale_handles();
+    }
+
+    fn gifts(
+        &self,
+        partitions: u32,
+        racks: &BTreeMap<RackId, RackLoad>,
+    ) -> Vec<(RackId, Partition)> {
+        let loads: Vec<RackLoad> = racks.values().cloned().collect();
+        let mut gifts = racks_to_give(self.term.partition, partitions, &loads);
+        let control = self.shared.control.borrow();
+        gifts.retain(|(_, target)| control.topology.holder(*target).is_some());
+        gifts
+    }
+
+    /// Returns all racks of the registry; those of this partition count as idle.
+    fn rack_loads(&self) -> BTreeMap<RackId, RackLoad> {
+        let mut racks: BTreeMap<RackId, RackLoad> = BTreeMap::new();
+        for entry in self.registry.values().filter(|it| !it.rack.is_empty()) {
+            let load = racks.entry(entry.rack.clone()).or_insert_with(|| RackLoad {
+                rack: entry.rack.clone(),
+                partition: self.owner(&entry.rack),
+                workers: BTreeMap::<PoolId, usize>::new(),
+                idle: self.owns(&entry.rack),
+            });
+            *load.workers.entry(entry.pool.clone()).or_default() += 1;
+        }
+        racks
+    }
+
+    /// Stores rows of the racks that the first partition keeps, so that entries choose it for jobs.
+    fn record_racks(&mut self, racks: &BTreeMap<RackId, RackLoad>) {
+        let unrecorded: Vec<RackId> = {
+            let control = self.shared.control.borrow();
+            let own = racks.values().filter(|it| it.idle);
+            own.filter(|it| control.topology.owner(&it.rack).1 == 0)
+                .map(|it| it.rack.clone())
+                .collect()
+        };
+        for rack in unrecorded {
+            let labels = self.rack_labels(&rack);
+            let partition = FIRST;
+            self.queue_json(keys::rack(&rack), &RackRow { partition, labels });
+        }
+    }
+
+    fn rack_labels(&self, rack: &str) -> BTreeSet<CompactString> {
+        let entries = self.registry.values().filter(|it| it.rack == rack);
+        entries.flat_map(|it| it.labels.iter().cloned()).collect()
+    }
+
+    /// Queues a row that is encoded as JSON.
+    pub(super) fn queue_json(&mut self, key: String, row: &impl serde::Serialize) {
+        match serde_json::to_vec(row) {
+            Ok(value) => self.queue_row(key, value),
+            Err(error) => {
+                warn!(self.shared.log, "role: a row cannot be encoded, not storing it";
+                    "key" => key, "error" => %error);
+            }
+        }
+    }
+}
--- a/crates/daemon/src/site/role/registry.rs
+++ b/crates/daemon/src/site/role/registry.rs
@@ -19,8 +19,9 @@
         for item in items {
             self.update_worker(item);
         }
-        let entries: Vec<WorkerEntry> = self.registry.values().cloned().collect();
-        self.apply(Event::Workers(entries));
+        let own = self.registry.values().filter(|it| self.owns(&it.rack));
+        let own: Vec<WorkerEntry> = own.cloned().collect();
+        self.apply(Event::Workers(own));
         self.connect_all();
         self.drop_stale_handles();
     }
@@ -38,7 +39,7 @@
         for change in changes {
             match change {
                 Change::Set(item) => {
-                    if let Some(entry) = self.update_worker(item) {
+                    if let Some(entry) = self.update_worker(item).filter(|it| self.owns(&it.rack)) {
                         self.apply(Event::WorkerRegistered(entry.clone()));
                         self.connect(&entry);
                     }
@@ -83,7 +84,7 @@
     }
 
     /// Connects to a worker from which the scheduler expects reports, unless that was done.
-    fn connect(&mut self, entry: &WorkerEntry) {
+    pub(super) fn connect(&mut self, entry: &WorkerEntry) {
         if !self.batch.expects_reports(&entry.id) {
             return;
         }
@@ -95,7 +96,7 @@
         let may_extend = Rc::clone(&self.may_extend);
         let log = self.shared.log.clone();
         let channels = (log, self.inbox.clone());
-        match worker::spawn(entry, self.term.fence, may_extend, channels) {
+        match worker::spawn(entry, self.rack_fence(&entry.rack), may_extend, channels) {
             Some(handle) => {
                 self.workers.insert(entry.id.clone(), handle);
             }
--- a/crates/daemon/src/site/role/restore.rs
+++ b/crates/daemon/src/site/role/restore.rs
@@ -2,151 +2,274 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use compio::runtime::JoinHandle;
+use flume::Receiver;
 use flume::Sender;
 use futures_util::future;
+use futures_util::future::Either;
 use slog::info;
+use slog::warn;
 use wigeonhinge::Time;
-use wigeonhinge::batch::Event;
 use wigeonhinge::batch::JobRow;
 use wigeonhinge::batch::OrderLog;
 use wigeonhinge::batch::OrdersRow;
 use wigeonhinge::batch::ProgressRow;
 use wigeonhinge::batch::StateRow;
+use wigeonhinge::partition::FIRST;
 use wigeonhinge_platform::records;
 use wigeonhinge_platform::store::Change;
-use wigeonhinge_platform::store::Error;
 use wigeonhinge_platform::store::Item;
+use wigeonhinge_platform::store::Range;
 use wigeonhinge_platform::store::Revision;
 
+use crate::site;
 use crate::site::Shared;
+use crate::site::clock;
+use crate::site::election::Term;
 use crate::site::keys;
-use crate::site::role::Message;
+use crate::site::message::Message;
+use crate::site::role::MAX_RENEWAL_AGE;
 use crate::site::role::Role;
-use crate::site::watcher::CALL_TIMEOUT;
+use crate::site::role::waves::WaveRow;
+use crate::site::rows;
+use crate::site::watcher;
+use crate::site::watcher::Backoff;
 use crate::site::watcher::Update;
 use crate::site::watcher::Watch;
 
+/// Time between two checks whether the role is still held while the state is read.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Pause after each page of old states, so that they do not hold up other work.
+const SWEEP_PAUSE: Duration = Duration::from_millis(500);
+
+/// Pause of the watch on accepted jobs after each update, so that a burst is read in few calls.
+const INPUT_PAUSE: Duration = Duration::from_millis(15);
+
+/// Pause of the watch on the registry after each update; workers write there every 1.5 s.
+const REGISTRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Content of the store at the start of a term. Inputs and workers come with the revision from
 /// which their watches continue.
 pub(super) struct Snapshot {
-    pub(super) inputs: (Vec<Item>, Revision),
-    pub(super) progress: Vec<Item>,
-    pub(super) states: Vec<Item>,
-    pub(super) workers: (Vec<Item>, Revision),
-    pub(super) waves: Vec<Item>,
-    pub(super) wave_rows: Vec<Item>,
-    pub(super) orders: Option<Item>,
+    inputs: (Vec<Item>, Revision),
+    progress: Vec<Item>,
+    workers: (Vec<Item>, Revision),
+    waves: Vec<Item>,
+    wave_rows: Vec<Item>,
+    orders: Vec<Item>,
 }
 
-pub(super) async fn load(shared: &Shared) -> Result<Snapshot, Error> {
-    let store = &shared.store;
-    let jobs = future::join3(
-        store.range(keys::INPUT, CALL_TIMEOUT),
-        store.range(keys::PROGRESS, CALL_TIMEOUT),
-        store.range(keys::STATES, CALL_TIMEOUT),
+/// Reads the state of a partition.
+///
+/// # Errors
+///
+/// Fails with the reason if the role is lost before everything is read.
+pub(super) async fn load(
+    shared: &Shared,
+    term: &Term,
+    messages: &Receiver<Message>,
+) -> Result<Snapshot, String> {
+    let (inputs, progress) = (
+        keys::inputs(term.partition),
+        keys::progress_rows(term.partition),
+    );
+    let (wave_rows, orders) = (
+        keys::wave_rows(term.partition),
+        keys::orders(term.partition),
     );
+    let read = |prefix| watcher::read_range(shared, prefix);
+    let jobs = future::join(read(&inputs), read(&progress));
     let fleet = future::join3(
-        store.range(records::WORKER_PREFIX, CALL_TIMEOUT),
-        store.range(records::WAVE_PREFIX, CALL_TIMEOUT),
-        store.range(keys::WAVES, CALL_TIMEOUT),
+        read(records::WORKER_PREFIX),
+        read(records::WAVE_PREFIX),
+        read(&wave_rows),
     );
-    let ((inputs, progress, states), (workers, waves, wave_rows)) = future::join(jobs, fleet).await;
-    Ok(Snapshot {
-        inputs: inputs?,
-        progress: progress?.0,
-        states: states?.0,
-        workers: workers?,
-        waves: waves?.0,
-        wave_rows: wave_rows?.0,
-        orders: store.get(keys::ORDERS, CALL_TIMEOUT).await?,
-    })
+    let reads = async {
+        // Every rack that an earlier holder gave away was given before this term's key was created.
+        while shared
+            .control
+            .borrow()
+            .revision(&keys::role(term.partition))
+            != Some(term.fence)
+        {
+            site::wait_for_change(shared, CHECK_INTERVAL).await;
+        }
+        future::join3(jobs, fleet, read(&orders)).await
+    };
+    let lost = role_lost(shared, term, messages);
+    match future::select(Box::pin(reads), Box::pin(lost)).await {
+        Either::Left((((inputs, progress), (workers, waves, wave_rows), orders), _)) => {
+            Ok(Snapshot {
+                inputs,
+                progress: progress.0,
+                workers,
+                waves: waves.0,
+                wave_rows: wave_rows.0,
+                orders: orders.0,
+            })
+        }
+        Either::Right((reason, _)) => Err(reason),
+    }
+}
+
+/// Waits until the role is lost or the entry stops; returns the reason.
+async fn role_lost(shared: &Shared, term: &Term, messages: &Receiver<Message>) -> String {
+    loop {
+        compio::time::sleep(CHECK_INTERVAL).await;
+        for message in messages.try_iter() {
+            if let Message::Lost(reason) = message {
+                return reason;
+            }
+        }
+        if shared.draining.get() {
+            return "the entry is stopping".into();
+        }
+        if clock::now().saturating_sub(term.renewed.get()) > MAX_RENEWAL_AGE {
+            return "the state of the partition cannot be read from the store".into();
+        }
+    }
 }
 
 impl Role {
     /// Restores the scheduler's state from the store.
     pub(super) fn restore(&mut self, snapshot: Snapshot, now: Time) {
         self.replace_workers(snapshot.workers.0);
+        let partition = self.term.partition;
         let mut progress = BTreeMap::new();
         for item in snapshot.progress {
-            match serde_json::from_slice::<ProgressRow>(&item.value) {
+            match rows::decode::<ProgressRow>(&item.value) {
                 Ok(row) => {
                     progress.insert(item.key, row);
                 }
-                Err(error) => self.log_invalid(&item.key, &error.to_string()),
+                Err(error) => self.log_invalid(&item.key, &error),
             }
         }
-        for item in snapshot.states {
-            match serde_json::from_slice::<StateRow>(&item.value) {
-                Ok(row) if row.phase.terminal() => {
-                    let id = item.key.strip_prefix(keys::STATES).unwrap_or(&item.key);
-                    self.batch.restore_ended(id.into(), now);
-                }
-                Ok(_) => {}
-                Err(error) => self.log_invalid(&item.key, &error.to_string()),
-            }
-        }
-        let mut cancels = Vec::new();
+        let cancels = keys::cancel(partition, "");
+        let mut cancelled = Vec::new();
         let mut count = 0;
         for item in snapshot.inputs.0 {
-            if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
-                cancels.push(CompactString::from(id));
+            if item.key.starts_with(&cancels) {
+                cancelled.push(item);
                 continue;
             }
-            match serde_json::from_slice::<JobRow>(&item.value) {
+            match rows::decode::<JobRow>(&item.value) {
                 Ok(row) => {
-                    let progress = progress.remove(&keys::progress(&row.id));
+                    let progress = progress.remove(&keys::progress(partition, &row.id));
                     self.batch.restore(row, progress, now);
                     count += 1;
                 }
-                Err(error) => self.log_invalid(&item.key, &error.to_string()),
+                Err(error) => self.log_invalid(&item.key, &error),
             }
         }
-        info!(self.shared.log, "role: jobs restored from the store"; "jobs" => count,
-            "cancelled" => cancels.len(), "workers" => self.registry.len());
-        for job in cancels {
-            self.apply(Event::Cancel(job));
+        info!(self.shared.log, "role: jobs restored from the store"; "partition" => partition,
+            "jobs" => count, "cancelled" => cancelled.len(), "workers" => self.registry.len());
+        for item in &cancelled {
+            self.handle_input(item);
+        }
+        self.restore_waves(snapshot.waves, snapshot.wave_rows);
+        self.restore_orders(snapshot.orders, now);
+    }
+
+    fn restore_waves(&mut self, requests: Vec<Item>, items: Vec<Item>) {
+        let mut progress: BTreeMap<u64, WaveRow> = BTreeMap::new();
+        for item in items {
+            let number = item.key.rsplit('/').next().and_then(|it| it.parse().ok());
+            match (number, serde_json::from_slice(&item.value)) {
+                (Some(number), Ok(row)) => {
+                    progress.insert(number, row);
+                }
+                (_, Err(error)) => self.log_invalid(&item.key, &error.to_string()),
+                (None, Ok(_)) => self.log_invalid(&item.key, "no number of a wave"),
+            }
         }
-        for item in snapshot.wave_rows {
-            let number = item.key.strip_prefix(keys::WAVES);
-            let number = number.and_then(|it| it.parse().ok());
-            if let (Some(number), Ok(row)) = (number, serde_json::from_slice(&item.value)) {
-                self.waves.insert(number, row);
+        for item in requests {
+            match records::decode_wave(&item.value) {
+                Ok(request) => {
+                    let row = progress.remove(&request.number).unwrap_or_default();
+                    self.add_wave(request, row);
+                }
+                Err(reason) => self.log_invalid(&item.key, &reason),
             }
         }
-        self.apply_waves(snapshot.waves);
-        self.restore_orders(snapshot.orders, now);
+        self.plan_waves();
     }
 
     /// Bars orders to the machines that orders of a predecessor may still reach.
-    pub(super) fn restore_orders(&mut self, row: Option<Item>, now: Time) {
-        let Some(row) = row else {
+    fn restore_orders(&mut self, items: Vec<Item>, now: Time) {
+        let key = keys::orders(self.term.partition);
+        let Some(item) = items.into_iter().find(|item| item.key == key) else {
             return;
         };
-        match serde_json::from_slice::<OrdersRow>(&row.value) {
+        match serde_json::from_slice::<OrdersRow>(&item.value) {
             Ok(row) => {
                 self.batch.block_orders(&row, now);
                 // Keep the predecessor's orders in the log: another takeover may follow before
                 // they have expired.
                 self.order_log = OrderLog::restore(&row, now);
             }
-            Err(error) => self.log_invalid(keys::ORDERS, &error.to_string()),
+            Err(error) => self.log_invalid(&item.key, &error.to_string()),
+        }
+    }
+
+    /// Takes over the removal of the states of ended jobs from earlier holders.
+    pub(super) fn restore_states(&mut self, items: Vec<Item>) {
+        let now = clock::now();
+        for item in items {
+            let id = item.key.strip_prefix(keys::STATES).unwrap_or(&item.key);
+            match rows::decode::<StateRow>(&item.value) {
+                Ok(row) if row.phase.terminal() => {
+                    self.batch.restore_ended(CompactString::from(id), now);
+                }
+                Ok(_) => {}
+                Err(error) => self.log_invalid(&item.key, &error),
+            }
         }
     }
 }
 
+/// Reads the states of all jobs once in each retention time, and reports them to the role.
+///
+/// A holder removes the states of jobs that ended in its term; those of earlier terms are left.
+async fn sweep_states(shared: Rc<Shared>, inbox: Sender<Message>) {
+    let retention = Duration::from_secs_f64(shared.settings.bounds.retention_secs);
+    loop {
+        let mut range = Range::new(keys::STATES);
+        let mut backoff = Backoff::new();
+        let mut reported = 0;
+        while !range.is_complete() {
+            compio::time::sleep(SWEEP_PAUSE).await;
+            if let Err(error) = shared.store.read_page(&mut range, backoff.timeout()).await {
+                warn!(shared.log, "role: old states cannot be read, trying again";
+                    "error" => %error);
+                backoff.pause().await;
+                continue;
+            }
+            backoff.succeeded();
+            let page = range.items()[reported..].to_vec();
+            reported = range.len();
+            if inbox.send(Message::OldStates(page)).is_err() {
+                return;
+            }
+        }
+        compio::time::sleep(retention).await;
+    }
+}
+
 /// Starts the watches on jobs, workers and waves, which report to the role.
 pub(super) fn watches(
     shared: &Rc<Shared>,
+    term: &Term,
     snapshot: &Snapshot,
     inbox: &Sender<Message>,
 ) -> Vec<JoinHandle<()>> {
-    let inputs = Watch::new(shared, keys::INPUT).resume_from(snapshot.inputs.1);
+    let inputs = Watch::new(shared, &keys::inputs(term.partition)).resume_from(snapshot.inputs.1);
     let workers = Watch::new(shared, records::WORKER_PREFIX).resume_from(snapshot.workers.1);
     let waves = Watch::new(shared, records::WAVE_PREFIX);
-    let follow = |mut watch: Watch, wrap: fn(Update) -> Message| {
+    let follow = |mut watch: Watch, pause: Duration, wrap: fn(Update) -> Message| {
         let inbox = inbox.clone();
         compio::runtime::spawn(async move {
             loop {
@@ -154,20 +277,21 @@
                 if inbox.send(wrap(update)).is_err() {
                     return;
                 }
+                compio::time::sleep(pause).await;
             }
         })
     };
-    vec![
-        follow(inputs, |update| match update {
-            Update::Snapshot(items) => Message::InputSnapshot(items),
+    let mut tasks = vec![
+        follow(inputs, INPUT_PAUSE, |update| match update {
+            Update::Snapshot(items, _) => Message::InputSnapshot(items),
             Update::Changes(changes) => Message::InputChanges(changes),
         }),
-        follow(workers, |update| match update {
-            Update::Snapshot(items) => Message::WorkerSnapshot(items),
+        follow(workers, REGISTRY_PAUSE, |update| match update {
+            Update::Snapshot(items, _) => Message::WorkerSnapshot(items),
             Update::Changes(changes) => Message::WorkerChanges(changes),
         }),
-        follow(waves, |update| match update {
-            Update::Snapshot(items) => Message::Waves(items),
+        follow(waves, Duration::ZERO, |update| match update {
+            Update::Snapshot(items, _) => Message::Waves(items),
             Update::Changes(changes) => {
                 let items = changes.into_iter().filter_map(|change| match change {
                     Change::Set(item) => Some(item),
@@ -176,5 +300,10 @@
                 Message::Waves(items.collect())
             }
         }),
-    ]
+    ];
+    if term.partition == FIRST {
+        let sweep = sweep_states(Rc::clone(shared), inbox.clone());
+        tasks.push(compio::runtime::spawn(sweep));
+    }
+    tasks
 }
--- a/crates/daemon/src/site/role/status.rs
+++ b/crates/daemon/src/site/role/status.rs
@@ -75,13 +75,14 @@
             pools.insert(pool.to_string(), row);
         }
         if !line.is_empty() {
-            info!(self.shared.log, "role: standing"; "pools" => line,
+            info!(self.shared.log, "role: standing"; "partition" => self.term.partition,
+                "pools" => line,
                 "rows" => load_stats.rows, "writes" => load_stats.writes,
                 "messages" => load_stats.messages,
                 "late_ms" => load_stats.max_delay.as_millis() as u64,
                 "write_ms" => load_stats.max_write.as_millis() as u64);
         }
-        let waves = match serde_json::to_value(&self.waves) {
+        let waves = match serde_json::to_value(self.wave_status()) {
             Ok(waves) => waves,
             Err(error) => {
                 warn!(self.shared.log, "role: waves cannot be encoded, omitting them from the status";
@@ -89,11 +90,12 @@
                 serde_json::Value::Null
             }
         };
-        *self.shared.status.borrow_mut() = serde_json::json!({
-            "role": true,
+        let status = serde_json::json!({
             "fence": self.term.fence,
             "pools": pools,
             "waves": waves,
         });
+        let mut partitions = self.shared.status.borrow_mut();
+        partitions.insert(self.term.partition, status);
     }
 }
--- a/crates/daemon/src/site/settings.rs
+++ b/crates/daemon/src/site/settings.rs
@@ -36,6 +36,9 @@
     /// Processor time that the entry may use, in cores; 1 if absent.
     #[serde(default = "one_core")]
     pub cores: f64,
+    /// Rate of the entry's network link in Mbit/s; 1,000 if absent.
+    #[serde(default = "fast_link")]
+    pub link_mbps: f64,
     /// Time bounds that the platform guarantees or requires.
     pub bounds: Bounds,
 }
@@ -44,6 +47,10 @@
     64.0
 }
 
+fn fast_link() -> f64 {
+    1_000.0
+}
+
 fn one_core() -> f64 {
     1.0
 }
@@ -105,6 +112,10 @@
             let value = self.machine_orders;
             bail!("machine_orders is {value}; expected more than 0, at most 1e6 a second");
         }
+        if !(self.link_mbps > 0.0 && self.link_mbps <= 1e6) {
+            let value = self.link_mbps;
+            bail!("link_mbps is {value}; expected more than 0, at most 1e6 Mbit/s");
+        }
         if self.entry.is_empty() {
             bail!("entry is empty; expected a name");
         }
--- a/crates/daemon/src/site/watcher.rs
+++ b/crates/daemon/src/site/watcher.rs
@@ -1,4 +1,4 @@
-//! Watches on the store that keep the configuration and the replica of all jobs current.
+//! Watches on the store that keep the configuration and the division of the fleet current.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,6 +9,8 @@
 use wigeonhinge_platform::records;
 use wigeonhinge_platform::store::Change;
 use wigeonhinge_platform::store::Error;
+use wigeonhinge_platform::store::Item;
+use wigeonhinge_platform::store::Range;
 use wigeonhinge_platform::store::Revision;
 use wigeonhinge_platform::store::WatchResponse;
 
@@ -16,42 +18,99 @@
 use crate::site::keys;
 
 /// Time for which the store may delay its response to a watch. A dead connection is noticed after
-/// this time and [`CALL_TIMEOUT`].
-const POLL_WAIT: Duration = Duration::from_millis(700);
+/// this time and the time limit of the call.
+const POLL_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Time limit for a response, in addition to the wait of a watch.
-pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Shortest and longest time limit for a response, in addition to the wait of a watch. The limit
+/// doubles with each failure, as a slow link may delay responses for seconds.
+const CALL_TIMEOUT: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(4));
 
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// First and longest pause after a failed call; the pause doubles with each failure, so that calls
+/// that fail for lack of bandwidth do not keep the link full.
+const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(800));
 
-/// Pause after each update of the watch on all jobs, so that a burst of changes is read in few
-/// calls.
-const JOBS_PAUSE: Duration = Duration::from_millis(120);
+/// Time limit and pause that grow with failures.
+#[derive(Debug)]
+pub(super) struct Backoff {
+    failures: u32,
+}
+
+impl Backoff {
+    pub(super) fn new() -> Self {
+        Self { failures: 0 }
+    }
+
+    pub(super) fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Returns the time limit of the next call.
+    pub(super) fn timeout(&self) -> Duration {
+        doubled(CALL_TIMEOUT, self.failures)
+    }
+
+    /// Waits after a failed call.
+    pub(super) async fn pause(&mut self) {
+        let pause = doubled(RETRY_PAUSE, self.failures);
+        self.failures = self.failures.saturating_add(1);
+        compio::time::sleep(pause).await;
+    }
+}
+
+fn doubled((first, longest): (Duration, Duration), times: u32) -> Duration {
+    (first * 2u32.saturating_pow(times.min(8))).min(longest)
+}
+
+/// Reads all items whose keys have a prefix, and the revision from which a watch continues.
+///
+/// Failed calls are repeated, and the pages that were read are kept.
+pub(super) async fn read_range(shared: &Shared, prefix: &str) -> (Vec<Item>, Revision) {
+    let mut range = Range::new(prefix);
+    let mut backoff = Backoff::new();
+    while !range.is_complete() {
+        match shared.store.read_page(&mut range, backoff.timeout()).await {
+            Ok(()) => {
+                shared.health.record_success();
+                backoff.succeeded();
+            }
+            Err(error) => {
+                if backoff.failures == 0 {
+                    warn!(shared.log, "watch: a page cannot be read, trying again";
+                        "prefix" => prefix, "items" => range.len(), "error" => %error);
+                }
+                shared.health.record_failure();
+                backoff.pause().await;
+            }
+        }
+    }
+    range.into_parts()
+}
 
 /// Watch on a prefix that starts with a snapshot and continues with changes.
 pub(super) struct Watch {
     shared: Rc<Shared>,
-    prefix: &'static str,
+    prefix: String,
     connection: Connection,
     after: Option<Revision>,
+    backoff: Backoff,
 }
 
 /// Update that a watch reports.
 pub(super) enum Update {
-    /// All items whose keys have the prefix.
-    Snapshot(Vec<wigeonhinge_platform::store::Item>),
+    /// All items whose keys have the prefix, as of a revision or later.
+    Snapshot(Vec<Item>, Revision),
     /// Changes since the last update.
     Changes(Vec<Change>),
 }
 
 impl Watch {
-    pub(super) fn new(shared: &Rc<Shared>, prefix: &'static str) -> Self {
+    pub(super) fn new(shared: &Rc<Shared>, prefix: &str) -> Self {
         Self {
             shared: Rc::clone(shared),
-            prefix,
+            prefix: prefix.to_owned(),
             connection: shared.store.connection(),
             after: None,
+            backoff: Backoff::new(),
         }
     }
 
@@ -64,50 +123,53 @@
     /// Waits for the next update; retries failed calls.
     pub(super) async fn next(&mut self) -> Update {
         loop {
-            match self.poll().await {
-                Ok(Some(update)) => {
+            let Some(after) = self.after else {
+                let (items, revision) = read_range(&self.shared, &self.prefix).await;
+                self.after = Some(revision);
+                return Update::Snapshot(items, revision);
+            };
+            match self.poll(after).await {
+                Ok(changes) => {
+                    self.backoff.succeeded();
                     self.shared.health.record_success();
-                    return update;
+                    if !changes.is_empty() {
+                        return Update::Changes(changes);
+                    }
                 }
-                Ok(None) => self.shared.health.record_success(),
                 Err(error) => {
                     if !self.shared.health.is_failing() {
-                        let prefix = self.prefix;
                         warn!(self.shared.log, "watch: the store does not answer";
-                            "prefix" => prefix, "error" => %error);
+                            "prefix" => &self.prefix, "error" => %error);
                     }
                     self.shared.health.record_failure();
-                    compio::time::sleep(RETRY_PAUSE).await;
+                    self.backoff.pause().await;
                 }
             }
         }
     }
 
-    async fn poll(&mut self) -> Result<Option<Update>, Error> {
+    async fn poll(&mut self, after: Revision) -> Result<Vec<Change>, Error> {
         let store = self.shared.store.clone();
-        let Some(after) = self.after else {
-            let (items, revision) = store.range(self.prefix, CALL_TIMEOUT).await?;
-            self.after = Some(revision);
-            return Ok(Some(Update::Snapshot(items)));
+        let from = (self.prefix.as_str(), after);
+        let timeout = self.backoff.timeout();
+        // After a failure, a response without a wait tells soonest whether the store is back.
+        let wait = match self.backoff.failures {
+            0 => POLL_WAIT,
+            _ => Duration::ZERO,
         };
         let watched = store
-            .watch(
-                &mut self.connection,
-                (self.prefix, after),
-                POLL_WAIT,
-                CALL_TIMEOUT,
-            )
+            .watch(&mut self.connection, from, wait, timeout)
             .await?;
         match watched {
             WatchResponse::Changes(changes, revision) => {
                 self.after = Some(revision.max(after));
-                Ok((!changes.is_empty()).then_some(Update::Changes(changes)))
+                Ok(changes)
             }
             WatchResponse::Compacted => {
                 info!(self.shared.log, "watch: history is compacted, reading a new snapshot";
-                    "prefix" => self.prefix, "after" => after);
+                    "prefix" => &self.prefix, "after" => after);
                 self.after = None;
-                Ok(None)
+                Ok(Vec::new())
             }
         }
     }
@@ -118,7 +180,7 @@
     let mut watch = Watch::new(&shared, records::OPERATOR_PREFIX);
     loop {
         let items = match watch.next().await {
-            Update::Snapshot(items) => items,
+            Update::Snapshot(items, _) => items,
             Update::Changes(changes) => changes
                 .into_iter()
                 .filter_map(|change| match change {
@@ -153,27 +215,21 @@
     }
 }
 
-/// Follows all jobs and the role's key.
-pub(super) async fn follow_jobs(shared: Rc<Shared>) {
-    let mut watch = Watch::new(&shared, keys::REPLICATED);
+/// Follows the holders of partitions, the racks and the plans of waves.
+pub(super) async fn follow_control(shared: Rc<Shared>) {
+    let mut watch = Watch::new(&shared, keys::CONTROL);
     loop {
         let update = watch.next().await;
-        let role = {
-            let mut replica = shared.replica.borrow_mut();
-            let before = replica.role_revision.is_some();
-            match update {
-                Update::Snapshot(items) => replica.load(items),
-                Update::Changes(changes) => changes.iter().for_each(|it| replica.apply(it)),
-            }
-            for (key, reason) in replica.take_unreadable() {
-                warn!(shared.log, "watch: item cannot be decoded, ignoring it";
-                    "key" => key, "reason" => reason);
-            }
-            before != replica.role_revision.is_some()
-        };
-        if role {
-            shared.change.notify(usize::MAX);
+        let mut control = shared.control.borrow_mut();
+        match update {
+            Update::Snapshot(items, revision) => control.load(items, revision),
+            Update::Changes(changes) => changes.iter().for_each(|it| control.apply(it)),
+        }
+        for (key, reason) in control.take_unreadable() {
+            warn!(shared.log, "watch: item cannot be decoded, ignoring it";
+                "key" => key, "reason" => reason);
         }
-        compio::time::sleep(JOBS_PAUSE).await;
+        drop(control);
+        shared.change.notify(usize::MAX);
     }
 }
--- a/crates/daemon/src/site/worker.rs
+++ b/crates/daemon/src/site/worker.rs
@@ -20,6 +20,7 @@
 use wigeonhinge::batch::StartReply;
 use wigeonhinge::batch::TaskId;
 use wigeonhinge::batch::WorkerEntry;
+use wigeonhinge::id::Fence;
 use wigeonhinge_platform::http::Connection;
 use wigeonhinge_platform::worker;
 use wigeonhinge_platform::worker::Refusal;
@@ -27,7 +28,7 @@
 use wigeonhinge_platform::worker::Target;
 
 use crate::site::clock;
-use crate::site::role::Message;
+use crate::site::message::Message;
 
 /// Time for which a worker may delay its response to a poll until a run ends.
 const POLL_WAIT: Duration = Duration::from_millis(700);
@@ -35,6 +36,10 @@
 /// Time limit for a response, in addition to the wait of a poll.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Longest time limit for the response to a poll. The limit doubles with each failure, as a slow
+/// link may delay all responses; a lease lasts longer than such a poll.
+const MAX_POLL_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Longest time for which a poll waits until the store holds the ends that the last poll returned.
 const STORE_WAIT: Duration = Duration::from_millis(100);
 
@@ -86,7 +91,7 @@
 /// Starts the tasks for a worker; returns `None` if its address is invalid.
 pub(super) fn spawn(
     entry: &WorkerEntry,
-    fence: u64,
+    fence: Fence,
     may_extend: Rc<Cell<bool>>,
     (log, inbox): (Logger, Sender<Message>),
 ) -> Option<Handle> {
@@ -123,6 +128,11 @@
         let _ = self.orders.send((clock::now(), order));
     }
 
+    /// Returns whether the outcome of every start is known.
+    pub(super) fn is_settled(&self) -> bool {
+        self.orders.is_empty() && self.inner.grant.borrow().is_settled()
+    }
+
     /// Acknowledges ends up to a number with the next poll.
     pub(super) fn acknowledge(&self, end: u64) {
         self.inner.acknowledged.set(end);
@@ -168,6 +178,7 @@
 async fn poll_lists(inner: Rc<Inner>, address: SocketAddr) {
     let mut connection = Connection::new(address);
     let mut retry_pause = RETRY_PAUSE.0;
+    let mut timeout = CALL_TIMEOUT;
     let mut last_received = 0;
     loop {
         if inner.acknowledged.get() < last_received {
@@ -192,7 +203,7 @@
             &mut connection,
             &inner.target,
             (acknowledged, until),
-            (wait, CALL_TIMEOUT),
+            (wait, timeout),
         );
         match poll.await {
             Ok(mut status) => {
@@ -201,6 +212,7 @@
                         "worker" => %inner.target.worker);
                 }
                 retry_pause = RETRY_PAUSE.0;
+                timeout = CALL_TIMEOUT;
                 if status.unreadable > 0 {
                     warn!(inner.log, "worker: rows of its lists cannot be decoded, ignoring them";
                         "worker" => %inner.target.worker, "rows" => status.unreadable);
@@ -223,6 +235,7 @@
                 }
                 compio::time::sleep(retry_pause).await;
                 retry_pause = (retry_pause * 2).min(RETRY_PAUSE.1);
+                timeout = (timeout * 2).min(MAX_POLL_TIMEOUT);
             }
         }
     }
--- a/crates/daemon/tests/site.rs
+++ b/crates/daemon/tests/site.rs
@@ -93,7 +93,7 @@
         .collect();
     entries.iter().for_each(Entry::wait_ready);
     wait("an entry holds the role", || {
-        site.value("wigeonhinge/role").is_some()
+        site.value("wigeonhinge/role/0").is_some()
     });
     let ids: Vec<String> = (0..6)
         .map(|index| format!("00000000000001{index:02}"))
@@ -105,13 +105,13 @@
     // On a busy machine the lease may end, and another entry then acquires the role shortly.
     let mut role = String::new();
     wait("an entry holds the role", || {
-        role = site.value("wigeonhinge/role").unwrap_or_default();
+        role = site.value("wigeonhinge/role/0").unwrap_or_default();
         !role.is_empty()
     });
     let holder = entries.iter().position(|entry| {
         let name = entry.file.file_stem().and_then(|it| it.to_str());
         name.and_then(|it| it.rsplit('-').next())
-            .is_some_and(|name| role.starts_with(name))
+            .is_some_and(|name| role.contains(&format!("\"{name}\"")))
     });
     drop(entries.remove(holder.expect("the holder is one of the entries")));
     for id in &ids {
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -22,6 +22,7 @@
 mod maintenance;
 mod pace;
 mod place;
+mod racks;
 mod ready;
 mod report;
 mod row;
@@ -146,6 +147,8 @@
     demand_history: DemandHistory,
     maintenance: MaintenanceWaves,
     machines: BTreeMap<VmId, machines::ManagedMachine>,
+    /// Machines that belong to other partitions.
+    foreign_machines: BTreeSet<VmId>,
     /// Time before which a machine gets no order, as a predecessor's order may still be in flight.
     blocked_until: BTreeMap<VmId, Time>,
     /// Final rows of ended jobs that are not written yet.
@@ -182,6 +185,7 @@
             demand_history: DemandHistory::default(),
             maintenance: MaintenanceWaves::default(),
             machines: BTreeMap::new(),
+            foreign_machines: BTreeSet::new(),
             blocked_until: BTreeMap::new(),
             final_writes: VecDeque::new(),
             unstored_ends: BTreeMap::new(),
@@ -246,8 +250,10 @@
                 self.stop_answered(&worker, &task, (run, answered), now);
             }
             Event::Machines(list) => self.update_machines(list, now),
+            Event::ForeignMachines(machines) => self.foreign_machines = machines,
             Event::OrderAnswered(machine, done) => self.order_answered(&machine, done, now),
             Event::Wave(wave) => self.maintenance.add(wave, now),
+            Event::WaveLimit(wave, limit) => self.maintenance.set_limit(wave, limit),
             Event::Tick => self.tick(now),
         }
     }
@@ -317,6 +323,16 @@
         )
     }
 
+    /// Returns whether a job was accepted and has not ended.
+    pub fn has_job(&self, job: &str) -> bool {
+        self.jobs.contains_key(job)
+    }
+
+    /// Returns whether a worker is registered or may still have runs.
+    pub fn has_worker(&self, worker: &str) -> bool {
+        self.workers.contains_key(worker)
+    }
+
     /// Returns whether a worker has to be polled: it is registered or may still have runs, and its
     /// machine has not been given to another worker.
     ///
@@ -332,10 +348,21 @@
         worker.runs.is_empty() && self.catalog.is_standby(pool) && !self.catalog.has_queue(pool)
     }
 
+    /// Counts the jobs of each queue of which no task is known to have started.
+    pub fn pending_jobs(&self) -> BTreeMap<CompactString, usize> {
+        let mut counts = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| !job.begun) {
+            *counts.entry(job.row.queue.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Returns workers, load and waiting tasks of each pool, for operators.
     pub fn summary(&self) -> BTreeMap<PoolId, PoolSummary> {
         let mut summary: BTreeMap<PoolId, PoolSummary> = BTreeMap::new();
-        for worker in self.workers.values().filter(|it| !it.replaced) {
+        // Workers known only from rows of jobs have no pool.
+        let listed = |worker: &&Worker| !worker.replaced && !worker.entry.pool.is_empty();
+        for worker in self.workers.values().filter(listed) {
             let entry = summary.entry(worker.entry.pool.clone()).or_default();
             entry.workers += 1;
             entry.runs += worker.runs.len();
--- a/crates/wigeonhinge/src/batch/balance.rs
+++ b/crates/wigeonhinge/src/batch/balance.rs
@@ -328,7 +328,7 @@
             if let Some(managed) = self.machines.get_mut(id) {
                 managed.planned_pool = None;
             }
-            self.send_order(id, Order::Move(pool));
+            self.send_order(id, Order::Move(pool), now);
         }
     }
 
--- a/crates/wigeonhinge/src/batch/event.rs
+++ b/crates/wigeonhinge/src/batch/event.rs
@@ -1,5 +1,7 @@
 //! Inputs and outputs of the scheduler.
 
+use std::collections::BTreeSet;
+
 use compact_str::CompactString;
 
 use crate::batch::Catalog;
@@ -42,10 +44,14 @@
     StopAnswered(WorkerId, TaskId, Run, bool),
     /// The platform's complete list of machines.
     Machines(Vec<Machine>),
+    /// Machines of the platform's list that belong to other partitions.
+    ForeignMachines(BTreeSet<VmId>),
     /// A machine order was answered; `false` if it was refused or its outcome is unknown.
     OrderAnswered(VmId, bool),
     /// A maintenance wave was requested.
     Wave(Wave),
+    /// The number of machines of a wave that may be down at a time changed.
+    WaveLimit(u64, usize),
     /// Time has passed; sent at a regular interval.
     Tick,
 }
--- a/crates/wigeonhinge/src/batch/grant.rs
+++ b/crates/wigeonhinge/src/batch/grant.rs
@@ -85,6 +85,11 @@
         self.unsettled.remove(&(task.clone(), run));
     }
 
+    /// Returns whether the outcome of every start is known.
+    pub fn is_settled(&self) -> bool {
+        self.unsettled.is_empty()
+    }
+
     /// Returns the starts to stop before a new lease can begin; none while the lease lasts.
     pub fn starts_to_stop(&self, now: Time) -> Vec<(TaskId, Run)> {
         match self.expired(now) {
--- a/crates/wigeonhinge/src/batch/job.rs
+++ b/crates/wigeonhinge/src/batch/job.rs
@@ -46,6 +46,8 @@
     pub(super) objective: Duration,
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
     pub(super) phase: Phase,
+    /// Whether a run of one of the tasks is known to have existed on a worker.
+    pub(super) begun: bool,
     /// Phase that the store holds once all taken writes are done.
     stored_phase: Phase,
     /// Whether a progress row was taken for writing.
@@ -87,6 +89,7 @@
             objective: Duration::ZERO,
             occurrences: BTreeMap::new(),
             phase: Phase::Pending,
+            begun: false,
             stored_phase: Phase::Pending,
             progress_stored: false,
             version: 0,
@@ -186,6 +189,7 @@
         StateRow {
             phase: self.phase,
             queue: self.row.queue.clone(),
+            partition: self.row.partition,
             ended_ms,
         }
     }
--- a/crates/wigeonhinge/src/batch/machines.rs
+++ b/crates/wigeonhinge/src/batch/machines.rs
@@ -3,12 +3,15 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use compact_str::CompactString;
+
 use crate::batch::Action;
 use crate::batch::Batch;
 use crate::batch::OrdersRow;
 use crate::batch::WorkerId;
 use crate::batch::worker::Worker;
 use crate::id::PoolId;
+use crate::id::RackId;
 use crate::id::Time;
 use crate::id::VmId;
 use crate::id::ZoneId;
@@ -57,6 +60,10 @@
     pub state: MachineState,
     /// Availability zone of the machine.
     pub zone: ZoneId,
+    /// Rack of the machine; empty if unknown.
+    pub rack: RackId,
+    /// Labels, such as machine kind and rack.
+    pub labels: Vec<CompactString>,
     /// Worker that runs on the machine; empty for none.
     pub worker: WorkerId,
 }
@@ -82,6 +89,8 @@
     worker_since: Time,
     /// Pool to which the machine moves once it is drained.
     pub(super) planned_pool: Option<PoolId>,
+    /// When an order of this term was last sent or answered.
+    last_order: Option<Time>,
 }
 
 impl ManagedMachine {
@@ -99,6 +108,12 @@
             && !self.listing_outdated()
     }
 
+    /// Returns whether the last order was answered that long ago, if there was one.
+    pub(super) fn rested(&self, rest: Duration, now: Time) -> bool {
+        let recent = |time: Time| now.saturating_sub(time) < rest;
+        self.order.is_none() && !self.last_order.is_some_and(recent)
+    }
+
     /// Returns whether the last listing may still name the worker from before the last order.
     pub(super) fn listing_outdated(&self) -> bool {
         self.listed_at < self.available_at
@@ -166,6 +181,7 @@
                         listed_at: now,
                         worker_since: now,
                         planned_pool: None,
+                        last_order: None,
                     };
                     self.machines.insert(id, managed);
                 }
@@ -212,11 +228,12 @@
             || now.saturating_sub(managed.worker_since) > REGISTRATION_TIMEOUT
     }
 
-    pub(super) fn send_order(&mut self, id: &VmId, order: Order) {
+    pub(super) fn send_order(&mut self, id: &VmId, order: Order, now: Time) {
         let Some(managed) = self.machines.get_mut(id) else {
             return;
         };
         managed.order = Some(order.clone());
+        managed.last_order = Some(now);
         let machine = id.clone();
         self.actions.push(match order {
             Order::Move(pool) => Action::Move { machine, pool },
@@ -228,6 +245,7 @@
         let Some(managed) = self.machines.get_mut(id) else {
             return;
         };
+        managed.last_order = Some(now);
         if !done {
             // The order is sent again if it is still needed; orders are idempotent.
             managed.order = None;
--- a/crates/wigeonhinge/src/batch/maintenance.rs
+++ b/crates/wigeonhinge/src/batch/maintenance.rs
@@ -54,7 +54,7 @@
     pub machines: Vec<VmId>,
     /// Time until the deadline when the scheduler receives the request.
     pub remaining: Duration,
-    /// Maximum number of its machines that are down at the same time; 0 counts as 1.
+    /// Maximum number of its machines that are down at the same time.
     pub limit: usize,
     /// Machines whose maintenance was ordered and accepted.
     pub done: BTreeSet<VmId>,
@@ -62,6 +62,10 @@
     pub completed: bool,
 }
 
+/// Time for which a machine of a wave has to be missing in the platform's list until it counts as
+/// gone.
+const ABSENCE_TIME: Duration = Duration::from_secs(5);
+
 /// Requested waves by number, including completed ones.
 #[derive(Debug, Default)]
 pub(super) struct MaintenanceWaves {
@@ -73,6 +77,8 @@
     wave: Wave,
     /// Machines whose maintenance was not accepted yet.
     pending: BTreeSet<VmId>,
+    /// Pending machines that the platform's list lacks, with the time since when.
+    missing: BTreeMap<VmId, Time>,
     deadline: Time,
     published: bool,
 }
@@ -86,6 +92,7 @@
         self.waves.entry(wave.number).or_insert(ActiveWave {
             wave,
             pending,
+            missing: BTreeMap::new(),
             deadline,
             published,
         });
@@ -97,6 +104,17 @@
         active.flat_map(|it| &it.pending)
     }
 
+    /// Returns whether a wave is not completed.
+    pub(super) fn active(&self) -> bool {
+        self.waves.values().any(|it| !it.published)
+    }
+
+    pub(super) fn set_limit(&mut self, wave: u64, limit: usize) {
+        if let Some(active) = self.waves.get_mut(&wave) {
+            active.wave.limit = limit;
+        }
+    }
+
     pub(super) fn mark_done(&mut self, wave: u64, machine: &VmId) {
         if let Some(active) = self.waves.get_mut(&wave) {
             active.wave.done.insert(machine.clone());
@@ -116,6 +134,16 @@
         self.maintenance.progress(wave)
     }
 
+    /// Returns whether the machines of a wave are all back in service.
+    pub fn wave_settled(&self, wave: u64, now: Time) -> bool {
+        let active = self.maintenance.waves.get(&wave);
+        active.is_some_and(|active| {
+            let machines = active.wave.machines.iter();
+            let mut known = machines.filter_map(|id| self.machines.get(id));
+            active.published && !known.any(|managed| managed.down(now))
+        })
+    }
+
     pub(super) fn advance_waves(&mut self, now: Time) {
         if self.machines.is_empty() {
             return;
@@ -133,7 +161,7 @@
         if active.published {
             return;
         }
-        let limit = active.wave.limit.max(1);
+        let limit = active.wave.limit;
         let urgent = now + URGENT_TIME >= active.deadline;
         let open = active.pending.iter();
         let open: Vec<VmId> = open
@@ -149,7 +177,12 @@
             })
             .count();
         if open.is_empty() {
-            self.publish(number);
+            if self.missing_machines_gone(number, now) {
+                self.publish(number);
+            }
+            return;
+        }
+        if limit == 0 {
             return;
         }
         let rounds = open.len().div_ceil(limit) as u32;
@@ -210,11 +243,26 @@
             prepared += 1;
             if self.drain(&worker, urgent, now) && slots > 0 {
                 slots -= 1;
-                self.send_order(&machine, Order::Maintain(number));
+                self.send_order(&machine, Order::Maintain(number), now);
             }
         }
     }
 
+    /// Returns whether the pending machines of a wave that are not known have been missing in the
+    /// platform's list for long enough, or belong to other partitions.
+    fn missing_machines_gone(&mut self, number: u64, now: Time) -> bool {
+        let Some(active) = self.maintenance.waves.get_mut(&number) else {
+            return false;
+        };
+        let mut gone = true;
+        let missing = active.pending.iter();
+        for machine in missing.filter(|it| !self.foreign_machines.contains(*it)) {
+            let since = *active.missing.entry(machine.clone()).or_insert(now);
+            gone &= now.saturating_sub(since) > ABSENCE_TIME;
+        }
+        gone
+    }
+
     /// Returns how many busy machines of each pool to drain at a time, so that all of them are
     /// drained within the `left` seconds.
     fn drains_at_once(&self, by_cost: &[(u64, VmId)], left: f64) -> BTreeMap<PoolId, usize> {
--- a/crates/wigeonhinge/src/batch/place.rs
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -278,7 +278,8 @@
         }
     }
 
-    /// Returns the worker on which a long-running task that fits nowhere should fit soonest.
+    /// Returns the worker on which a long-running task that fits nowhere should fit soonest: one
+    /// that has room for it once its other runs end, but for the long-running ones.
     ///
     /// Without a reservation, short tasks would take any capacity that becomes free,
     /// and a larger long-running task would never fit.
@@ -296,7 +297,9 @@
                 && worker.accepts_work(now)
                 && !worker.paused(now)
                 && !reserved.contains(id)
-                && step.size().fits(worker.entry.capacity)
+                && step
+                    .size()
+                    .fits(worker.entry.capacity.minus(worker.long_running))
                 && (step.requires.is_empty() || worker.entry.labels.contains(&step.requires))
                 && (step.max_per_worker == 0
                     || self.siblings(worker, task, &none) < step.max_per_worker)
--- a/crates/wigeonhinge/src/batch/report.rs
+++ b/crates/wigeonhinge/src/batch/report.rs
@@ -186,6 +186,7 @@
     ) -> Option<u64> {
         let task = &ended.task;
         let job = self.jobs.get_mut(&task.job)?;
+        job.begun = true;
         let step = job.step(task.step)?.clone();
         let queue = job.row.queue.clone();
         let pool = job.pool.clone();
@@ -283,6 +284,7 @@
             return;
         };
         let mut unknown = Vec::new();
+        let mut confirmed = Vec::new();
         let mut listed = BTreeMap::new();
         let mut checkpoints = Vec::new();
         for entry in running {
@@ -291,6 +293,7 @@
                 Some(state) if state.run == entry.run => {
                     if state.stage == Stage::Starting {
                         state.stage = Stage::Confirmed(now);
+                        confirmed.push(entry.task.job.clone());
                     }
                     if entry.percent > state.percent || (state.long_running && entry.percent >= 100)
                     {
@@ -305,6 +308,14 @@
                 _ => unknown.push((entry.task, entry.run)),
             }
         }
+        for job in confirmed {
+            if let Some(job) = self.jobs.get_mut(&job) {
+                job.begun = true;
+            }
+        }
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
         let mut lost = Vec::new();
         for (task, state) in &worker.runs {
             if listed.get(task) == Some(&state.run) {
--- a/crates/wigeonhinge/src/batch/row.rs
+++ b/crates/wigeonhinge/src/batch/row.rs
@@ -1,4 +1,7 @@
 //! Rows of jobs in the store.
+//!
+//! They are stored in a compact codec that is not self-describing, so all fields are always written,
+//! in their order here.
 
 use compact_str::CompactString;
 use serde::Deserialize;
@@ -9,12 +12,15 @@
 use crate::batch::WorkerId;
 use crate::id::JobId;
 use crate::id::PoolId;
+use crate::partition::Partition;
 
 /// Accepted job, as stored for the role holder.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct JobRow {
     /// Identifier of the job.
     pub id: JobId,
+    /// Partition that schedules the job.
+    pub partition: Partition,
     /// Name of the queue that accepted the job.
     pub queue: CompactString,
     /// Pool of the queue when the job was accepted.
@@ -27,7 +33,6 @@
 
 /// Lifecycle state of a job.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "lowercase")]
 pub enum Phase {
     /// Accepted; no task was started.
     #[default]
@@ -56,8 +61,9 @@
     pub phase: Phase,
     /// Name of the queue that accepted the job.
     pub queue: CompactString,
+    /// Partition that schedules the job.
+    pub partition: Partition,
     /// Unix time in milliseconds at which the job ended; `None` before.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ended_ms: Option<i64>,
 }
 
@@ -67,7 +73,6 @@
     /// Current lifecycle state.
     pub phase: Phase,
     /// Tasks that were started at least once.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub tasks: Vec<TaskRow>,
 }
 
@@ -91,6 +96,5 @@
     /// Newest checkpoint; empty for none.
     pub CompactString,
     /// Highest run counted as failed; 0 for none.
-    #[serde(default)]
     pub Run,
 );
--- a/crates/wigeonhinge/src/batch/runs.rs
+++ b/crates/wigeonhinge/src/batch/runs.rs
@@ -125,6 +125,9 @@
         };
         match reply {
             StartReply::Started => {
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.begun = true;
+                }
                 if state.stage == Stage::Starting {
                     state.stage = Stage::Confirmed(now);
                     state.progressed_at = now;
--- a/crates/wigeonhinge/src/batch/spec.rs
+++ b/crates/wigeonhinge/src/batch/spec.rs
@@ -6,6 +6,7 @@
 
 use crate::batch::WorkerId;
 use crate::id::PoolId;
+use crate::id::RackId;
 use crate::id::VmId;
 use crate::id::ZoneId;
 
@@ -58,6 +59,8 @@
     pub pool: PoolId,
     /// Availability zone of the machine.
     pub zone: ZoneId,
+    /// Rack of the machine; empty if unknown.
+    pub rack: RackId,
     /// Total capacity for tasks.
     pub capacity: Size,
     /// Labels, such as machine kind and rack.
@@ -74,84 +77,56 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct JobSpec {
     /// What the tasks run; passed to workers unchanged.
-    #[serde(default)]
     pub spec: CompactString,
     /// Steps, referred to by their index.
-    #[serde(default)]
     pub steps: Vec<Step>,
     /// Number of occurrences; 0 for a single one that is due at once.
-    #[serde(default, skip_serializing_if = "is_default")]
     pub repeat: u32,
     /// Unix time in milliseconds at which the first occurrence is due.
-    #[serde(default, skip_serializing_if = "is_default")]
     pub start_ms: i64,
     /// Time between two occurrences in milliseconds.
-    #[serde(default, skip_serializing_if = "is_default")]
     pub interval_ms: i64,
 }
 
 /// Step of a job: a number of equal tasks.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(default)]
 pub struct Step {
     /// Number of tasks.
     pub count: u32,
     /// Thousandths of a core that a task requests.
-    #[serde(skip_serializing_if = "is_default")]
     pub millicores: u64,
     /// Memory in MB that a task requests.
-    #[serde(skip_serializing_if = "is_default")]
     pub memory_mb: u64,
     /// Accelerators that a task requests.
-    #[serde(skip_serializing_if = "is_default")]
     pub accelerators: u64,
     /// Rough estimate of a task's duration in milliseconds.
-    #[serde(skip_serializing_if = "is_default")]
     pub estimate_ms: u64,
     /// Indexes of the steps that must complete first.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
     pub after: Vec<usize>,
     /// Whether tasks save checkpoints from which they can resume.
-    #[serde(skip_serializing_if = "is_default")]
     pub checkpointing: bool,
     /// Whether the tasks must all run at the same time.
-    #[serde(skip_serializing_if = "is_default")]
     pub gang: bool,
     /// Whether the tasks should share a rack, as they are slower across racks.
-    #[serde(skip_serializing_if = "is_default")]
     pub same_rack: bool,
     /// Label that a worker must have; empty for none.
-    #[serde(skip_serializing_if = "CompactString::is_empty")]
     pub requires: CompactString,
     /// Label of workers on which the tasks run faster, such as a rack; empty for none.
-    #[serde(skip_serializing_if = "CompactString::is_empty")]
     pub affinity: CompactString,
     /// Maximum number of the step's tasks on one worker; 0 for no limit.
-    #[serde(skip_serializing_if = "is_default")]
-    #[serde(rename = "spread")]
     pub max_per_worker: u32,
     /// Whether copies of a task may run at the same time.
-    #[serde(skip_serializing_if = "is_default")]
-    #[serde(rename = "duplicates")]
     pub allow_duplicates: bool,
     /// Whether the tasks run until the job is cancelled, and restart however they end.
-    #[serde(skip_serializing_if = "is_default")]
-    #[serde(rename = "lasting")]
     pub long_running: bool,
     /// Name of the image that the tasks run; empty if not given.
-    #[serde(skip_serializing_if = "CompactString::is_empty")]
     pub image: CompactString,
     /// Objective for the tail of the response times in milliseconds; 0 if the tasks serve none.
-    #[serde(skip_serializing_if = "is_default")]
     pub goal_ms: u64,
     /// Whether the tasks use only cores that other tasks leave idle.
-    #[serde(skip_serializing_if = "is_default")]
-    #[serde(rename = "fills")]
     pub best_effort: bool,
     /// Number of tasks that machine orders may make unavailable at the same time;
     /// at least 1, and 1 if absent.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    #[serde(rename = "may_miss")]
     pub max_unavailable: Option<u32>,
 }
 
@@ -168,7 +143,3 @@
         }
     }
 }
-
-fn is_default<T: Default + PartialEq>(value: &T) -> bool {
-    *value == T::default()
-}
--- a/crates/wigeonhinge/src/batch/workers.rs
+++ b/crates/wigeonhinge/src/batch/workers.rs
@@ -148,6 +148,21 @@
             pool.capacity = worker.entry.capacity;
             pool.add(&id, &entry);
         }
+        debug_assert!(self.is_consistent(), "the index differs from its workers");
+    }
+
+    /// Returns whether the index holds what a pass over all workers gives.
+    fn is_consistent(&self) -> bool {
+        let mut pools: BTreeMap<PoolId, PoolIndex> = BTreeMap::new();
+        for (id, worker) in &self.workers {
+            let entry = IndexEntry::new(worker);
+            let pool = pools.entry(entry.pool.clone()).or_default();
+            pool.add(id, &entry);
+        }
+        self.pools.iter().all(|(name, pool)| {
+            let recounted = pools.remove(name).unwrap_or_default();
+            pool.same_workers(&recounted)
+        }) && pools.is_empty()
     }
 
     /// Returns the index of a pool as of the last refresh; `None` if it never had a worker.
@@ -183,6 +198,14 @@
         self.long_running_workers -= usize::from(entry.has_long_running);
     }
 
+    fn same_workers(&self, other: &Self) -> bool {
+        self.open == other.open
+            && self.count == other.count
+            && self.long_running == other.long_running
+            && self.short == other.short
+            && self.long_running_workers == other.long_running_workers
+    }
+
     /// Returns the workers that may get tasks and have so many cores free, in the order in which
     /// they are filled.
     pub(super) fn open(&self, millicores: u64) -> impl Iterator<Item = &WorkerId> + Clone {
--- a/crates/wigeonhinge/src/lib.rs
+++ b/crates/wigeonhinge/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`scheduler`] schedules the jobs of a pool.
 //! - [`lease`], [`role`] and [`membership`] assign roles to the live entries.
 //! - [`batch`] manages jobs of steps and tasks, the size of pools, and waves on a platform.
+//! - [`partition`] divides a fleet among entries, each of which runs a [`batch`].
 //! - [`outcome`] lists the error kinds of requests and the answers that callers get.
 
 pub mod admit;
@@ -33,6 +34,7 @@
 pub mod membership;
 pub mod moves;
 pub mod outcome;
+pub mod partition;
 pub mod place;
 pub mod quota;
 pub mod retry;
--- /dev/null
+++ b/crates/wigeonhinge/src/partition/layout.rs
@@ -0,0 +1,145 @@
+//! Number of partitions, and the racks that a partition gives to another one.
+
+use std::collections::BTreeMap;
+
+use crate::id::PoolId;
+use crate::id::RackId;
+use crate::partition::Partition;
+
+/// Most machines of a partition: a holder takes part in five calls and two rows for each task, and
+/// 350 machines need up to 0.19 cores.
+const MAX_MACHINES: f64 = 400.0;
+
+/// Machines of a partition for each core of its holder, at about half of the processor.
+const MACHINES_PER_CORE: f64 = 1_600.0;
+
+/// Machines of a partition for each Mbit/s of its holder's link, at about half of the link; a task
+/// takes 1.5 to 2 KB.
+const MACHINES_PER_MBPS: f64 = 36.0;
+
+/// Difference in workers between two partitions below which no rack is given.
+const MIN_IMBALANCE: usize = 2;
+
+/// Resources of an entry that holds a partition.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Processor time in cores.
+    pub cores: f64,
+    /// Rate of the network link in Mbit/s.
+    pub link_mbps: f64,
+}
+
+/// Returns into how many partitions a fleet is divided, so that an entry with such limits carries
+/// one of them.
+///
+/// ```
+/// use wigeonhinge::partition::Limits;
+/// use wigeonhinge::partition::partition_count;
+///
+/// let limits = Limits { cores: 0.5, link_mbps: 200.0 };
+/// assert_eq!(partition_count(350, limits), 1);
+/// assert_eq!(partition_count(1_100, limits), 3);
+/// ```
+pub fn partition_count(machines: usize, limits: Limits) -> u32 {
+    let share = MAX_MACHINES
+        .min(MACHINES_PER_CORE * limits.cores)
+        .min(MACHINES_PER_MBPS * limits.link_mbps)
+        .max(1.0);
+    (machines as f64 / share).ceil().max(1.0) as u32
+}
+
+/// Rack with its owner and load.
+#[derive(Clone, Debug)]
+pub struct RackLoad {
+    /// Name of the rack.
+    pub rack: RackId,
+    /// Partition that owns it.
+    pub partition: Partition,
+    /// Workers by pool.
+    pub workers: BTreeMap<PoolId, usize>,
+    /// Whether it can change its owner now.
+    pub idle: bool,
+}
+
+impl RackLoad {
+    fn total(&self) -> usize {
+        self.workers.values().sum()
+    }
+}
+
+/// Workers of one partition.
+#[derive(Debug, Default)]
+struct PartitionLoad {
+    total: usize,
+    pools: BTreeMap<PoolId, usize>,
+}
+
+impl PartitionLoad {
+    fn add(&mut self, rack: &RackLoad) {
+        self.total += rack.total();
+        for (pool, count) in &rack.workers {
+            *self.pools.entry(pool.clone()).or_default() += count;
+        }
+    }
+
+    fn remove(&mut self, rack: &RackLoad) {
+        self.total -= rack.total();
+        for (pool, count) in &rack.workers {
+            if let Some(workers) = self.pools.get_mut(pool) {
+                *workers -= count;
+            }
+        }
+    }
+
+    fn workers(&self, pool: &PoolId) -> usize {
+        self.pools.get(pool).copied().unwrap_or(0)
+    }
+}
+
+/// Returns the racks that partition `from` should give to others, with their new owners, so that
+/// the workers of each pool are spread evenly.
+pub fn racks_to_give(
+    from: Partition,
+    partitions: u32,
+    racks: &[RackLoad],
+) -> Vec<(RackId, Partition)> {
+    let mut loads: BTreeMap<Partition, PartitionLoad> = BTreeMap::new();
+    for partition in 0..partitions {
+        loads.entry(partition).or_default();
+    }
+    for rack in racks {
+        loads.entry(rack.partition).or_default().add(rack);
+    }
+    let own = racks.iter().filter(|it| it.partition == from && it.idle);
+    let mut own: Vec<&RackLoad> = own.collect();
+    let mut gifts = Vec::new();
+    loop {
+        let least = loads.iter().filter(|(it, _)| **it < partitions);
+        let Some(target) = least.min_by_key(|(_, load)| load.total).map(|(it, _)| *it) else {
+            return gifts;
+        };
+        if target == from {
+            return gifts;
+        }
+        let (mine, theirs) = (&loads[&from], &loads[&target]);
+        let surplus = mine.total.saturating_sub(theirs.total);
+        let evens_out = |rack: &RackLoad| surplus >= 2 * rack.total().max(MIN_IMBALANCE);
+        let pool_surplus = |rack: &RackLoad| {
+            let surplus = |pool| mine.workers(pool) as i64 - theirs.workers(pool) as i64;
+            rack.workers.keys().map(surplus).max().unwrap_or(0)
+        };
+        let candidates = own.iter().enumerate().filter(|(_, rack)| evens_out(rack));
+        let best = candidates.max_by_key(|(_, rack)| pool_surplus(rack));
+        let Some(index) = best.map(|(index, _)| index) else {
+            return gifts;
+        };
+        let rack = own.remove(index);
+        if let Some(load) = loads.get_mut(&from) {
+            load.remove(rack);
+        }
+        if let Some(load) = loads.get_mut(&target) {
+            load.add(rack);
+        }
+        gifts.push((rack.rack.clone(), target));
+    }
+}
--- /dev/null
+++ b/crates/wigeonhinge/tests/batch_racks.rs
@@ -0,0 +1,288 @@
+//! Racks that pass to another partition, parts of waves, and the index of workers.
+
+#[path = "support/cluster.rs"]
+mod cluster;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cluster::Cluster;
+use cluster::POOL;
+use cluster::job;
+use cluster::machine;
+use cluster::step;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use rstest::rstest;
+use wigeonhinge::batch::Action;
+use wigeonhinge::batch::End;
+use wigeonhinge::batch::Event;
+use wigeonhinge::batch::OrdersRow;
+use wigeonhinge::batch::Step;
+use wigeonhinge::batch::WORKER_LEASE;
+use wigeonhinge::batch::Wave;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+const RACK: &str = "r1-1";
+
+const TWO: [&str; 2] = ["w1", "w2"];
+
+fn list_machines(cluster: &mut Cluster, workers: &[&str]) {
+    let list = workers
+        .iter()
+        .map(|id| machine(&format!("m-{id}"), POOL, id));
+    cluster.handle(Event::Machines(list.collect()));
+}
+
+fn wave(machines: &[&str], limit: usize) -> Wave {
+    Wave {
+        number: 1,
+        machines: machines.iter().map(|id| (*id).into()).collect(),
+        remaining: 30 * SECOND,
+        limit,
+        ..Wave::default()
+    }
+}
+
+fn published(cluster: &Cluster) -> bool {
+    let is = |action: &Action| matches!(action, Action::Publish { .. });
+    cluster.actions.iter().any(is)
+}
+
+fn maintained(cluster: &Cluster) -> usize {
+    let is = |action: &&Action| matches!(action, Action::Maintain { .. });
+    cluster.actions.iter().filter(is).count()
+}
+
+/// A rack is not given while a run may exist on it, and is given once the run has ended.
+#[test]
+fn rack_idle_after_runs() {
+    let mut cluster = Cluster::new(&TWO);
+    assert!(cluster.batch.rack_idle(RACK, cluster.now));
+    cluster.submit(job("j", vec![step(1)]));
+    assert!(
+        !cluster.batch.rack_idle(RACK, cluster.now),
+        "the start is reserved"
+    );
+    cluster.store_writes();
+    cluster.advance(SECOND);
+    assert!(!cluster.batch.rack_idle(RACK, cluster.now));
+    cluster.end_run("j.0.0.0", End::Done);
+    cluster.advance(SECOND);
+    assert!(cluster.batch.rack_idle(RACK, cluster.now));
+}
+
+/// Guards against orders of two partitions to one machine in turns: a rack rests before it is given.
+#[rstest]
+#[case::answered(Some(0))]
+#[case::open(None)]
+fn rack_idle_after_orders(#[case] age_ms: Option<u64>) {
+    let mut cluster = Cluster::new(&TWO);
+    list_machines(&mut cluster, &TWO);
+    let row = OrdersRow([("m-w1".into(), age_ms)].into());
+    cluster.batch.block_orders(&row, cluster.now);
+    cluster.advance(2 * SECOND);
+    assert!(!cluster.batch.rack_idle(RACK, cluster.now));
+    cluster.advance(3 * SECOND);
+    assert!(cluster.batch.rack_idle(RACK, cluster.now));
+}
+
+/// A rack that was given away gets no tasks any more.
+#[test]
+fn released_rack_gets_no_tasks() {
+    let mut cluster = Cluster::new(&TWO);
+    list_machines(&mut cluster, &TWO);
+    cluster.batch.release_rack(RACK);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.advance(2 * SECOND);
+    assert!(cluster.starts().is_empty());
+}
+
+/// Guards against a wave that is completed while a machine of it is missing in one list.
+#[test]
+fn wave_waits_for_missing_machine() {
+    let mut cluster = Cluster::new(&TWO);
+    list_machines(&mut cluster, &["w1"]);
+    cluster.handle(Event::Wave(wave(&["m-w1", "m-w2"], 2)));
+    cluster.advance(SECOND);
+    cluster.handle(Event::OrderAnswered("m-w1".into(), true));
+    cluster.advance(2 * SECOND);
+    assert!(!published(&cluster));
+    list_machines(&mut cluster, &TWO);
+    cluster.advance(SECOND);
+    assert_eq!(maintained(&cluster), 2);
+}
+
+/// A machine that stays away from the list for seconds does not hold up a wave.
+#[test]
+fn wave_completes_without_removed_machine() {
+    let mut cluster = Cluster::new(&TWO);
+    list_machines(&mut cluster, &["w1"]);
+    cluster.handle(Event::Wave(wave(&["m-w1", "m-gone"], 2)));
+    cluster.advance(SECOND);
+    cluster.handle(Event::OrderAnswered("m-w1".into(), true));
+    cluster.advance(7 * SECOND);
+    assert!(published(&cluster));
+}
+
+/// A partition completes its part of a wave when its own machines had their maintenance.
+#[test]
+fn wave_part_without_foreign_machines() {
+    let mut cluster = Cluster::new(&TWO);
+    list_machines(&mut cluster, &["w1"]);
+    cluster.handle(Event::ForeignMachines(BTreeSet::from(["m-other".into()])));
+    cluster.handle(Event::Wave(wave(&["m-w1", "m-other"], 2)));
+    cluster.advance(SECOND);
+    cluster.handle(Event::OrderAnswered("m-w1".into(), true));
+    cluster.advance(SECOND);
+    assert!(published(&cluster));
+    assert!(
+        !cluster.batch.wave_settled(1, cluster.now),
+        "the machine is still down"
+    );
+}
+
+/// A partition whose share of a wave's limit is zero takes no machine down until it gets one.
+#[test]
+fn wave_without_share() {
+    let mut cluster = Cluster::new(&TWO);
+    list_machines(&mut cluster, &TWO);
+    cluster.handle(Event::Wave(wave(&["m-w1", "m-w2"], 0)));
+    cluster.advance(2 * SECOND);
+    assert_eq!(maintained(&cluster), 0);
+    cluster.handle(Event::WaveLimit(1, 1));
+    cluster.advance(SECOND);
+    assert_eq!(maintained(&cluster), 1);
+}
+
+/// A small task starts although more large tasks wait before it than a placement pass tries.
+#[test]
+fn small_task_behind_large_ones() {
+    let large = Step {
+        millicores: 12_000,
+        ..step(60)
+    };
+    let mut cluster = Cluster::new(&TWO);
+    cluster.submit(job("large", vec![large]));
+    cluster.submit(job("small", vec![step(1)]));
+    cluster.store_writes();
+    let started = cluster.starts();
+    assert_eq!(started.len(), 3);
+    assert!(started.iter().any(|(task, _)| task == "small.0.0.0"));
+}
+
+/// Guards against a long-running task that waits for ever for a worker that other long-running
+/// tasks fill, while the runs on another worker end.
+#[test]
+fn reserve_beside_short_runs() {
+    let long_running = |millicores| Step {
+        millicores,
+        long_running: true,
+        ..step(1)
+    };
+    let short = Step {
+        millicores: 4_000,
+        ..step(4)
+    };
+    let mut cluster = Cluster::new(&TWO);
+    cluster.submit(job("filling", vec![long_running(12_000)]));
+    cluster.submit(job(
+        "short",
+        vec![
+            short.clone(),
+            Step {
+                after: vec![],
+                ..short
+            },
+        ],
+    ));
+    cluster.store_writes();
+    cluster.submit(job("waiting", vec![long_running(8_000)]));
+    cluster.advance(SECOND);
+    assert_eq!(cluster.run_count("waiting.0.0.0"), 0);
+    for index in 0..4 {
+        let task = format!("short.0.0.{index}");
+        if cluster.run_count(&task) == 1 {
+            cluster.end_run(&task, End::Done);
+        }
+    }
+    cluster.advance(SECOND);
+    assert_eq!(cluster.run_count("waiting.0.0.0"), 1);
+}
+
+/// Plays random jobs, ends, silences and losses; debug builds compare the index of workers with a
+/// pass over all of them at each refresh.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn index_random_play(#[case] seed: u64) {
+    let names: Vec<String> = (0..12).map(|index| format!("w{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut cluster = Cluster::new(&names);
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut submitted = 0;
+    let mut silent_since = BTreeMap::new();
+    for round in 0..300 {
+        if rng.random_bool(0.5) {
+            let steps = (0..rng.random_range(1..3)).map(|index| Step {
+                millicores: rng.random_range(500..9_000),
+                memory_mb: rng.random_range(500..30_000),
+                max_per_worker: rng.random_range(0..3),
+                long_running: rng.random_bool(0.1),
+                after: (0..index).collect(),
+                ..step(rng.random_range(1..6))
+            });
+            cluster.submit(job(&format!("j{submitted}"), steps.collect()));
+            submitted += 1;
+        }
+        if rng.random_bool(0.1) {
+            let name = names[rng.random_range(0..names.len())];
+            let node = cluster.nodes.get_mut(name).expect("a worker");
+            node.silent = !node.silent;
+            match silent_since.remove(name) {
+                // The worker ends its runs when its lease expires.
+                Some(since) if cluster.now - since >= WORKER_LEASE => node.runs.clear(),
+                Some(_) => {}
+                None => {
+                    silent_since.insert(name, cluster.now);
+                }
+            }
+        }
+        if rng.random_bool(0.05) {
+            cluster.handle(Event::Cancel(
+                format!("j{}", rng.random_range(0..=submitted)).into(),
+            ));
+        }
+        if round == 150 {
+            cluster.take_over();
+        }
+        let ended: Vec<String> = cluster
+            .nodes
+            .values()
+            .filter(|node| !node.silent)
+            .flat_map(|node| node.runs.keys())
+            .filter(|_| rng.random_bool(0.2))
+            .map(ToString::to_string)
+            .collect();
+        for task in ended {
+            let end = if rng.random_bool(0.9) {
+                End::Done
+            } else {
+                End::Failed
+            };
+            cluster.end_run(&task, end);
+        }
+        cluster.advance(Duration::from_millis(100));
+        let mut running = BTreeSet::new();
+        for node in cluster.nodes.values().filter(|node| !node.silent) {
+            for task in node.runs.keys() {
+                assert!(running.insert(task.clone()), "two runs of {task}");
+            }
+        }
+    }
+    assert!(cluster.states.len() > 20, "{} jobs", cluster.states.len());
+}
--- a/crates/wigeonhinge/tests/support/cluster.rs
+++ b/crates/wigeonhinge/tests/support/cluster.rs
@@ -103,6 +103,7 @@
         address: "127.0.0.1:1".into(),
         pool: POOL.into(),
         zone: "a".into(),
+        rack: "r1-1".into(),
         capacity: Size {
             millicores: 16_000,
             memory_mb: 64_000,
@@ -128,6 +129,7 @@
 pub fn job(id: &str, steps: Vec<Step>) -> JobRow {
     JobRow {
         id: id.into(),
+        partition: 0,
         queue: "booking".into(),
         pool: POOL.into(),
         accepted_ms: 0,
@@ -149,6 +151,8 @@
         pool: pool.into(),
         state: MachineState::Up,
         zone: "a".into(),
+        rack: "r1-1".into(),
+        labels: vec!["kind".into(), "r1-1".into()],
         worker: worker.into(),
     }
 }
