Add a machine to a pool whose workers cannot host a long-running task

A place was reserved on a worker that other long-running tasks fill.

Change: long-running tasks that found no worker in the last pass ask for as many more machines as their step needs, counted beyond the machines that can be used now; a task that fits on no machine asks for none.

--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -140,6 +140,8 @@
     ready: BTreeMap<PoolId, ReadyQueue>,
     /// Pools in which a ready task may fit since the last placement pass.
     dirty_pools: BTreeSet<PoolId>,
+    /// Workers that a pool needs besides its own, by pool, for long-running tasks that fit on none.
+    unplaced_hosts: BTreeMap<PoolId, usize>,
     /// Workers that get no other tasks until a long-running task fits on them.
     reservations: BTreeMap<TaskId, WorkerId>,
     workers: Workers,
@@ -179,6 +181,7 @@
             changed_jobs: VecDeque::new(),
             ready: BTreeMap::new(),
             dirty_pools: BTreeSet::new(),
+            unplaced_hosts: BTreeMap::new(),
             reservations: BTreeMap::new(),
             workers: Workers::default(),
             demand: Demand::default(),
--- a/crates/wigeonhinge/src/batch/balance.rs
+++ b/crates/wigeonhinge/src/batch/balance.rs
@@ -7,7 +7,9 @@
 
 use crate::batch::Batch;
 use crate::batch::MachineState;
+use crate::batch::machines::ManagedMachine;
 use crate::batch::machines::Order;
+use crate::batch::machines::REGISTRATION_TIMEOUT;
 use crate::batch::worker::RunState;
 use crate::batch::worker::Worker;
 use crate::id::PoolId;
@@ -53,6 +55,14 @@
     }
 }
 
+/// Machines that a pool has or gets.
+#[derive(Clone, Copy, Debug, Default)]
+struct Supply {
+    machines: usize,
+    /// Those of them that no task can use yet.
+    arriving: usize,
+}
+
 /// A pool's demand and supply in machines.
 #[derive(Debug)]
 struct PoolBalance {
@@ -128,22 +138,25 @@
         let mut balances = Vec::new();
         for pool in pools {
             let replacement = usize::from(replaced.contains(&pool));
-            let required = self.required_machines(&pool, replacement, now);
+            let supply = supplies.get(&pool).copied().unwrap_or_default();
+            let mut required = self.required_machines(&pool, replacement, now);
+            if let Some(hosts) = self.unplaced_hosts.get(&pool) {
+                required = required.max(supply.machines - supply.arriving + hosts);
+            }
             let recent_peak = self.demand_history.record(&pool, required, now);
-            let supply = supplies.get(&pool).copied().unwrap_or(0);
             balances.push(PoolBalance {
                 pool,
                 required,
                 recent_peak,
-                supply,
+                supply: supply.machines,
             });
         }
         balances
     }
 
     /// Counts the machines that are in each pool, moving to it, or planned for it.
-    fn supplies(&self, now: Time) -> BTreeMap<PoolId, usize> {
-        let mut supplies: BTreeMap<PoolId, usize> = BTreeMap::new();
+    fn supplies(&self, now: Time) -> BTreeMap<PoolId, Supply> {
+        let mut supplies: BTreeMap<PoolId, Supply> = BTreeMap::new();
         for managed in self.machines.values() {
             let machine = &managed.machine;
             let in_service = now < managed.available_at || machine.state != MachineState::Down;
@@ -153,16 +166,26 @@
                 _ if in_service => &machine.pool,
                 _ => continue,
             };
-            match supplies.get_mut(pool) {
-                Some(count) => *count += 1,
-                None => {
-                    supplies.insert(pool.clone(), 1);
-                }
+            if !supplies.contains_key(pool) {
+                supplies.insert(pool.clone(), Supply::default());
+            }
+            if let Some(supply) = supplies.get_mut(pool) {
+                supply.machines += 1;
+                supply.arriving += usize::from(self.is_arriving(managed, now));
             }
         }
         supplies
     }
 
+    /// Returns whether a machine is on its way to a pool, or its worker there did not report yet.
+    fn is_arriving(&self, managed: &ManagedMachine, now: Time) -> bool {
+        let ordered = managed.planned_pool.is_some() || managed.order_active(now);
+        let recent =
+            managed.available_at > Time::ZERO && now < managed.available_at + REGISTRATION_TIMEOUT;
+        let worker = self.workers.get(&managed.machine.worker);
+        ordered || (recent && !worker.is_some_and(|it| it.has_reported))
+    }
+
     /// Returns the number of machines that a pool's demand requires, with `replacement` more while
     /// long-running tasks have to leave a machine.
     fn required_machines(&self, pool: &PoolId, replacement: usize, now: Time) -> usize {
--- a/crates/wigeonhinge/src/batch/machines.rs
+++ b/crates/wigeonhinge/src/batch/machines.rs
@@ -24,7 +24,7 @@
 
 /// Time after which a machine's worker that is not in the registry counts as nonexistent. Workers
 /// register as soon as they start, and expired entries are registered again within 2 s.
-const REGISTRATION_TIMEOUT: Duration = Duration::from_secs(3);
+pub(super) const REGISTRATION_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time after which a worker's cordon is lifted if no pending order renews it.
 const CORDON_RETENTION: Duration = Duration::from_millis(600);
--- a/crates/wigeonhinge/src/batch/place.rs
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -52,6 +52,32 @@
     skipped: usize,
 }
 
+/// Long-running tasks that found no worker in the last pass over a pool.
+#[derive(Debug, Default)]
+struct Unplaced {
+    /// Number of tasks by job, occurrence and step, and how many of them a worker may run.
+    steps: BTreeMap<(JobId, u32, u32), (u32, u32)>,
+}
+
+impl Unplaced {
+    fn record(&mut self, task: &TaskId, step: &Step) {
+        if step.long_running {
+            let key = (task.job.clone(), task.occurrence, task.step);
+            let limit = step.max_per_worker;
+            self.steps.entry(key).or_insert((0, limit)).0 += 1;
+        }
+    }
+
+    /// Returns how many more workers the pool needs; tasks of different steps may share them.
+    fn hosts(&self) -> usize {
+        let hosts = self.steps.values().map(|(count, limit)| match limit {
+            0 => 1,
+            limit => count.div_ceil(*limit),
+        });
+        hosts.max().unwrap_or(0) as usize
+    }
+}
+
 impl Misses {
     fn record(&mut self, task: &TaskId, step: &Step) {
         self.count += 1;
@@ -90,6 +116,15 @@
     }
 
     fn place_pool(&mut self, pool: &PoolId, now: Time) {
+        let mut unplaced = Unplaced::default();
+        self.place_ranks(pool, &mut unplaced, now);
+        match unplaced.hosts() {
+            0 => self.unplaced_hosts.remove(pool),
+            hosts => self.unplaced_hosts.insert(pool.clone(), hosts),
+        };
+    }
+
+    fn place_ranks(&mut self, pool: &PoolId, unplaced: &mut Unplaced, now: Time) {
         let mut misses = Misses::default();
         // Workers that get no other tasks until a long-running task fits on them.
         let mut reserved = BTreeSet::new();
@@ -116,7 +151,12 @@
                     self.dequeue(pool, &rank);
                     self.reservations.remove(&rank.task);
                 }
-                (Placement::NoWorker, Some(step)) => misses.record(&rank.task, step),
+                (Placement::NoWorker, Some(step)) => {
+                    misses.record(&rank.task, step);
+                    if self.any_machine_fits(pool, step) {
+                        unplaced.record(&rank.task, step);
+                    }
+                }
                 (Placement::NoWorker | Placement::TooEarly, _) => misses.count += 1,
             }
             if matches!(placement, Placement::NoWorker | Placement::TooEarly)
@@ -172,6 +212,13 @@
         Placement::Placed
     }
 
+    /// Returns whether a task of a step would fit on another machine in the pool, whichever it is.
+    fn any_machine_fits(&self, pool: &PoolId, step: &Step) -> bool {
+        let capacity = self.workers.pool(pool).and_then(|it| it.capacity());
+        let fits = capacity.is_some_and(|capacity| step.size().fits(capacity));
+        fits && step.requires.is_empty()
+    }
+
     fn step(&self, task: &TaskId) -> Option<&Step> {
         self.jobs.get(&task.job)?.step(task.step)
     }
--- a/crates/wigeonhinge/tests/batch_racks.rs
+++ b/crates/wigeonhinge/tests/batch_racks.rs
@@ -9,6 +9,7 @@
 
 use cluster::Cluster;
 use cluster::POOL;
+use cluster::SPARE;
 use cluster::job;
 use cluster::machine;
 use cluster::step;
@@ -185,34 +186,70 @@
     };
     let short = Step {
         millicores: 4_000,
-        ..step(4)
+        ..step(40)
     };
     let mut cluster = Cluster::new(&TWO);
-    cluster.submit(job("filling", vec![long_running(12_000)]));
-    cluster.submit(job(
-        "short",
-        vec![
-            short.clone(),
-            Step {
-                after: vec![],
-                ..short
-            },
-        ],
-    ));
+    cluster.submit(job("filling", vec![long_running(13_000)]));
+    cluster.submit(job("short", vec![short]));
     cluster.store_writes();
     cluster.submit(job("waiting", vec![long_running(8_000)]));
     cluster.advance(SECOND);
     assert_eq!(cluster.run_count("waiting.0.0.0"), 0);
-    for index in 0..4 {
-        let task = format!("short.0.0.{index}");
-        if cluster.run_count(&task) == 1 {
-            cluster.end_run(&task, End::Done);
-        }
+    // The short runs end one after the other, and others wait for their room.
+    for index in 0..8 {
+        cluster.end_run(&format!("short.0.0.{index}"), End::Done);
+        cluster.advance(Duration::from_millis(200));
     }
-    cluster.advance(SECOND);
     assert_eq!(cluster.run_count("waiting.0.0.0"), 1);
 }
 
+/// Guards against a long-running task that waits for ever although machines are on standby: all
+/// workers of its pool have either a task of its step or no memory left.
+#[test]
+fn unplaced_task_adds_machine() {
+    let long_running = |count, memory_mb| Step {
+        long_running: true,
+        max_per_worker: 1,
+        memory_mb,
+        ..step(count)
+    };
+    let workers = ["w1", "w2", "w3"];
+    let mut cluster = Cluster::new(&workers);
+    let mut list: Vec<_> = workers
+        .iter()
+        .map(|id| machine(&format!("m-{id}"), POOL, id))
+        .collect();
+    list.extend((0..4).map(|index| machine(&format!("p{index}"), SPARE, "")));
+    cluster.handle(Event::Machines(list));
+    cluster.submit(job("filling", vec![long_running(1, 60_000)]));
+    cluster.store_writes();
+    cluster.submit(job("wide", vec![long_running(3, 10_000)]));
+    cluster.advance(2 * SECOND);
+    let moves = cluster.actions.iter();
+    let moves = moves.filter(|action| matches!(action, Action::Move { .. }));
+    assert_eq!(moves.count(), 1);
+}
+
+/// Guards against machines that move in one after the other for a task that fits on none.
+#[test]
+fn oversized_task_adds_few_machines() {
+    let oversized = Step {
+        long_running: true,
+        memory_mb: 100_000,
+        ..step(1)
+    };
+    let mut cluster = Cluster::new(&["w1"]);
+    let mut list = vec![machine("m-w1", POOL, "w1")];
+    list.extend((0..4).map(|index| machine(&format!("p{index}"), SPARE, "")));
+    cluster.handle(Event::Machines(list));
+    cluster.submit(job("oversized", vec![oversized]));
+    cluster.advance(2 * SECOND);
+    let moves = cluster.actions.iter();
+    let moves = moves.filter(|action| matches!(action, Action::Move { .. }));
+    // Its memory alone counts as demand for a second machine.
+    assert!(moves.count() <= 1);
+}
+
 /// Plays random jobs, ends, silences and losses; debug builds compare the index of workers with a
 /// pass over all of them at each refresh.
 #[rstest]
