Leave a reserved start in place while its worker is drained

Ruled out: the partitions (one on that site); the loss of the worker itself, which was noticed.

Change: a drain waits until a reserved start is stored and sent, and stops the run then. The test fails without it.

--- a/crates/wigeonhinge/src/batch/maintenance.rs
+++ b/crates/wigeonhinge/src/batch/maintenance.rs
@@ -330,7 +330,9 @@
             .collect();
         let mut drained = true;
         for (task, long_running, stage) in runs {
-            if matches!(stage, Stage::Stopping(..)) {
+            // The start of a reserved run may already be on its way to the store and can't be taken
+            // back, so the run is stopped once it was sent.
+            if matches!(stage, Stage::Stopping(..) | Stage::Reserved) {
                 drained = false;
                 continue;
             }
--- a/crates/wigeonhinge/tests/batch_racks.rs
+++ b/crates/wigeonhinge/tests/batch_racks.rs
@@ -146,6 +146,44 @@
     );
 }
 
+/// Guards against a long-running task that is never started again: its worker was drained while the
+/// start waited for a slow store, and the machine went down with a run that nobody counted.
+#[test]
+fn drain_waits_for_reserved_start() {
+    let long_running = Step {
+        long_running: true,
+        max_unavailable: Some(1),
+        ..step(1)
+    };
+    let mut cluster = Cluster::new(&TWO);
+    list_machines(&mut cluster, &TWO);
+    cluster.submit(job("j", vec![long_running]));
+    // The start is reserved, and its row is not stored yet.
+    cluster.handle(Event::Wave(wave(&["m-w1"], 1)));
+    for _ in 0..3 {
+        cluster.now += Duration::from_millis(100);
+        for id in TWO {
+            cluster.poll_worker(id);
+        }
+        cluster.handle(Event::Tick);
+    }
+    let down: Vec<String> = cluster
+        .actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Maintain { machine, .. } => Some(machine.to_string()),
+            _ => None,
+        })
+        .collect();
+    for machine in down {
+        let id = machine.trim_start_matches("m-");
+        cluster.nodes.get_mut(id).expect("a worker").silent = true;
+        cluster.handle(Event::OrderAnswered(machine.as_str().into(), true));
+    }
+    cluster.advance(8 * SECOND);
+    assert_eq!(cluster.run_count("j.0.0.0"), 1);
+}
+
 /// A partition whose share of a wave's limit is zero takes no machine down until it gets one.
 #[test]
 fn wave_without_share() {
