--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -1,5 +1,6 @@
 //! Command `explain`: the story of one job from the entries' log lines.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fs;
 use std::io;
@@ -22,6 +23,9 @@
     "site: told",
 ];
 
+/// Beginning of the lines that a holder writes once a second.
+const PERIODIC: &str = "role: standing";
+
 /// A log line.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Line {
@@ -77,6 +81,9 @@
 /// Returns the lines that name an id, and those between the first and the last
 /// of them that concern the role, the store, the configuration or a worker
 /// that ran one of the job's tasks.
+///
+/// Of the lines that holders write each second, only the last one before and the first one after
+/// each line of the job is kept, by entry.
 pub fn story(id: &str, text: &str) -> Vec<Line> {
     let mut lines: Vec<(Line, bool)> = Vec::new();
     let mut workers = BTreeSet::new();
@@ -102,11 +109,30 @@
                 .any(|worker| line.fields.iter().any(|it| it.ends_with(worker.as_str())));
         general || worker
     };
-    let within = lines[first..=last].iter();
-    within
-        .filter(|(line, own)| *own || concerns(line))
-        .map(|(line, _)| line.clone())
-        .collect()
+    let mut story = Vec::new();
+    // The last periodic line of each entry since the job's last line.
+    let mut pending: BTreeMap<String, Line> = BTreeMap::new();
+    let mut shown = BTreeSet::new();
+    for (line, own) in &lines[first..=last] {
+        if line.message.starts_with(PERIODIC) {
+            match shown.insert(line.entry.clone()) {
+                true => story.push(line.clone()),
+                false => {
+                    pending.insert(line.entry.clone(), line.clone());
+                }
+            }
+        } else if *own {
+            let mut before: Vec<Line> = std::mem::take(&mut pending).into_values().collect();
+            before.sort_by(|a, b| a.time.cmp(&b.time));
+            story.extend(before);
+            story.push(line.clone());
+            shown.clear();
+        } else if concerns(line) {
+            story.push(line.clone());
+        }
+    }
+    story.sort_by(|a, b| a.time.cmp(&b.time));
+    story
 }
 
 /// Reads the JSON object of a line; other text may stand before it.
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -25,3 +25,42 @@
     let found: Vec<&str> = story.iter().map(|line| line.time.as_str()).collect();
     assert_eq!(found, times);
 }
+
+/// Lines that a holder writes each second, between two lines of a job 40 s apart.
+fn periodic_log() -> String {
+    let line = |second: u32, entry: &str, message: &str, job: &str| {
+        format!(
+            "{{\"msg\":\"{message}\",\"ts\":\"{second:03}\",\"entry\":\"{entry}\",\"job\":\"{job}\"}}\n"
+        )
+    };
+    let mut log = line(0, "e2", "front: job accepted", "ab");
+    for second in 1..40 {
+        log += &line(second, "e1", "role: standing", "");
+        log += &line(second, "e3", "role: standing", "");
+        if second == 20 {
+            log += &line(second, "e1", "role: given up", "");
+        }
+    }
+    log += &line(40, "e1", "jobs: job ab ended", "ab");
+    log
+}
+
+/// Guards against a story that is drowned by the periodic lines of the holders.
+#[test]
+fn story_periodic_lines() {
+    let story = story("ab", &periodic_log());
+    let found: Vec<(&str, &str)> = story
+        .iter()
+        .map(|line| (line.time.as_str(), line.entry.as_str()))
+        .collect();
+    let expected = [
+        ("000", "e2"),
+        ("001", "e1"),
+        ("001", "e3"),
+        ("020", "e1"),
+        ("039", "e1"),
+        ("039", "e3"),
+        ("040", "e1"),
+    ];
+    assert_eq!(found, expected);
+}
