Leave one of several partitions to an entry that holds none; divide late while jobs run

Ruled out: the claim delays, which hold between entries that run already.

Change: the number of partitions is raised after 2 s of a term if no jobs are open, else after 20 s. An entry that has held several partitions for 5 s gives up the highest; if nobody claims it, it takes it again after 1.2 s and keeps it for a minute.

--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+pub mod batch;
 pub mod buffer;
 pub mod capacity;
 pub(crate) mod command;
--- a/crates/cli/src/measure/command.rs
+++ b/crates/cli/src/measure/command.rs
@@ -6,6 +6,7 @@
 use crate::apply::fail;
 use crate::exit::Exit;
 use crate::measure::Report;
+use crate::measure::batch;
 use crate::measure::buffer;
 use crate::measure::capacity;
 use crate::measure::decisions;
@@ -61,6 +62,7 @@
 /// Runs a measurement; `None` when no measurement has the name.
 fn measure(name: &str, seed: u64, owner: Owner) -> Option<Result<Report>> {
     let report = match name {
+        "batch" => Ok(batch::run(seed)),
         "buffer" => Ok(buffer::run(seed, owner)),
         "capacity" => Ok(capacity::run(seed, owner)),
         "decisions" => decisions(seed),
@@ -85,7 +87,7 @@
 
 /// Returns whether a measurement does not depend on the owner.
 fn shared(name: &str) -> bool {
-    matches!(name, "decisions" | "overhead")
+    matches!(name, "batch" | "decisions" | "overhead")
 }
 
 /// Saves the figures of all reports in one plot.
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -273,7 +273,7 @@
     #[options(
         free,
         required,
-        help = "waves, moves, buffer, floods, jobs, capacity, decisions or overhead"
+        help = "waves, moves, buffer, floods, jobs, batch, capacity, decisions or overhead"
     )]
     pub name: String,
 }
--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -72,6 +72,8 @@
     /// State of pools and waves of the partitions that this entry holds, for operators.
     pub(crate) status: RefCell<BTreeMap<Partition, serde_json::Value>>,
     pub(crate) draining: Cell<bool>,
+    /// When this entry last left one of several partitions to another entry.
+    pub(crate) spread_at: Cell<Option<Time>>,
     /// Notified when the configuration or a control row changes.
     pub(crate) change: event_listener::Event,
 }
@@ -152,6 +154,7 @@
         health: StoreHealth::default(),
         status: RefCell::new(BTreeMap::new()),
         draining: Cell::new(false),
+        spread_at: Cell::new(None),
         change: event_listener::Event::new(),
         settings,
     });
--- a/crates/daemon/src/site/election.rs
+++ b/crates/daemon/src/site/election.rs
@@ -44,8 +44,9 @@
 /// Longest time between two checks whether a partition has no holder.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time for which an entry that gave up a partition does not claim it again.
-const RECLAIM_PAUSE: Duration = Duration::from_millis(2_500);
+/// Time for which an entry that gave up a partition does not claim it again; with the delay of its
+/// claim it is still at work again before the workers' leases end.
+const RECLAIM_PAUSE: Duration = Duration::from_millis(1_200);
 
 /// Term of a partition's holder.
 #[derive(Clone, Debug)]
@@ -135,7 +136,7 @@
     let claimant = Claimant {
         entry: &settings.entry,
         cores: settings.cores,
-        held: control.topology.held_by(&settings.entry),
+        held: control.topology.held_by(&settings.entry).len(),
         zone_held: control.topology.held_in(&settings.zone),
     };
     claim_delay(partition, &claimant)
--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -353,6 +353,7 @@
             self.publish_status();
             self.publish_load();
             self.divide();
+            self.spread();
             self.advance_plans();
         }
         let now = clock::now();
--- a/crates/daemon/src/site/role/racks.rs
+++ b/crates/daemon/src/site/role/racks.rs
@@ -27,8 +27,15 @@
 use crate::site::keys;
 use crate::site::role::Role;
 
-/// Time from the start of a term until its holder changes the number of partitions.
-const LAYOUT_DELAY: Duration = Duration::from_secs(2);
+/// Time from the start of a term until its holder changes the number of partitions, if no jobs are
+/// open, and otherwise. Meanwhile an entry with more resources may take over.
+const LAYOUT_DELAY: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(20));
+
+/// Time for which an entry holds several partitions before it leaves one to another entry.
+const SPREAD_DELAY: Duration = Duration::from_secs(5);
+
+/// Time until an entry tries again to leave a partition to another entry.
+const SPREAD_RETRY: Duration = Duration::from_secs(60);
 
 /// Machine of any partition.
 #[derive(Debug)]
@@ -109,6 +116,26 @@
         }
     }
 
+    /// Gives up this partition if the entry holds others too, so that an entry without one takes it.
+    ///
+    /// If none does, this entry takes it again, and keeps it for a while.
+    pub(super) fn spread(&mut self) {
+        let now = clock::now();
+        let shared = &self.shared;
+        let young = now.saturating_sub(self.started_at) < SPREAD_DELAY;
+        let tried = shared.spread_at.get();
+        let recent = tried.is_some_and(|time| now.saturating_sub(time) < SPREAD_RETRY);
+        let several = {
+            let topology = &shared.control.borrow().topology;
+            let held = topology.held_by(&shared.settings.entry);
+            held.len() > 1 && held.last() == Some(&self.term.partition)
+        };
+        if several && !young && !recent {
+            shared.spread_at.set(Some(now));
+            self.lost_reason = Some("left to an entry that holds no partition".into());
+        }
+    }
+
     /// Raises the number of partitions if the fleet has outgrown it.
     fn update_layout(&mut self, partitions: u32) {
         let settings = &self.shared.settings;
@@ -118,8 +145,12 @@
         };
         let machines = self.machines.len().max(self.registry.len());
         let wanted = partition_count(machines, limits);
-        let new = clock::now().saturating_sub(self.started_at) < LAYOUT_DELAY;
-        if wanted <= partitions || new {
+        let delay = match self.batch.has_jobs() {
+            true => LAYOUT_DELAY.1,
+            false => LAYOUT_DELAY.0,
+        };
+        let age = clock::now().saturating_sub(self.started_at);
+        if wanted <= partitions || age < delay {
             return;
         }
         info!(self.shared.log, "partitions: number changed"; "partitions" => wanted,
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -331,6 +331,11 @@
         self.jobs.contains_key(job)
     }
 
+    /// Returns whether any job was accepted and has not ended.
+    pub fn has_jobs(&self) -> bool {
+        !self.jobs.is_empty()
+    }
+
     /// Returns whether a worker is registered or may still have runs.
     pub fn has_worker(&self, worker: &str) -> bool {
         self.workers.contains_key(worker)
--- a/crates/wigeonhinge/src/partition.rs
+++ b/crates/wigeonhinge/src/partition.rs
@@ -127,10 +127,11 @@
         self.holders.get(&partition)
     }
 
-    /// Returns the number of partitions that an entry holds.
-    pub fn held_by(&self, entry: &str) -> usize {
-        let holders = self.holders.values();
-        holders.filter(|it| it.entry == entry).count()
+    /// Returns the partitions that an entry holds, in order.
+    pub fn held_by(&self, entry: &str) -> Vec<Partition> {
+        let holders = self.holders.iter();
+        let own = holders.filter(|(_, it)| it.entry == entry);
+        own.map(|(partition, _)| *partition).collect()
     }
 
     /// Returns the number of partitions that entries of an availability zone hold.
