--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -22,6 +22,8 @@
         "crashes" => repeated_crashes(world),
         "attempts" => dropped_queue(world),
         "values" => large_job(world),
+        "foreign" => foreign_entry(world),
+        "suspects" => crash_in_burst(world),
         _ => world.finish(NOT_RUN, &format!("unknown case {case:?}")),
     }
 }
@@ -128,11 +130,11 @@
                 let noted = earlier.observed.is_some() && !earlier.lapsed;
                 if overlap || (done && noted) {
                     let after = match earlier.ended {
-                        Some(end) if !overlap => format!("{} ms after its end", (later.started - end.0).as_millis()),
+                        Some(end) if !overlap => format!("{} ms after its end as done", (later.started - end.0).as_millis()),
                         _ => "while it runs".into(),
                     };
                     found.push(format!(
-                        "{task} run {} starts on {} although run {} is done on {}, {after}",
+                        "{task} run {} starts on {} after run {} on {}, {after}",
                         later.run, later.worker, earlier.run, earlier.worker
                     ));
                 }
@@ -350,3 +352,129 @@
         _ => world.finish(1, &format!("LOST: {lost} of {} accepted jobs are not completed", accepted.len())),
     }
 }
+
+/// A rack loses power in a burst of small jobs.
+fn crash_in_burst(mut world: World) -> ! {
+    const JOBS: usize = 60;
+    const WIDTH: usize = 6;
+    const CPU: u64 = 200;
+    /// `finish_s` of the settings.
+    const FINISH: Duration = Duration::from_secs(14);
+    let plan: Plan = Arc::new(|_: &str, _| (CPU, 100, Course::DoneAfter(Duration::from_millis(640))));
+    let runs = set_up(&mut world, 8, plan);
+    let body = format!(
+        "{{\"spec\":\"short\",\"steps\":[{{\"count\":{WIDTH},\"cpu\":{CPU},\"memMb\":100,\"estimateMs\":640}}]}}"
+    );
+    let path = |number: usize| format!("/jobs/{number:016x}");
+    let accepted = std::sync::Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for part in 0..6 {
+            let (world, accepted, body) = (&world, &accepted, &body);
+            scope.spawn(move || {
+                for number in (part..JOBS).step_by(6) {
+                    let answer = world.ask(part % 3, "POST", &path(number), body);
+                    if answer.is_some_and(|it| it.0 == 200) {
+                        accepted.lock().unwrap().push(number);
+                    }
+                }
+            });
+        }
+    });
+    let accepted = accepted.into_inner().unwrap();
+    let end = Instant::now();
+    if accepted.len() < JOBS || !wait(&runs, 2_000, |it| it.len() >= JOBS * WIDTH) {
+        world.finish(NOT_RUN, "not all tasks of the burst have begun");
+    }
+    let workers = world.workers.lock().unwrap().clone();
+    if world.trouble {
+        for worker in &workers[..4] {
+            worker.crash();
+        }
+        sleep(4_500);
+        for worker in &workers[..4] {
+            worker.restart();
+        }
+    }
+    std::thread::sleep(FINISH.saturating_sub(end.elapsed()));
+    let from = Instant::now();
+    sleep(3_000);
+    let all = runs.lock().unwrap().clone();
+    let during = |run: &&RunLog| run.started < from + Duration::from_secs(3) && run.ended.is_none_or(|it| it.0 > from);
+    // The most that ran at a time is at most all that ran within the three seconds.
+    let cores = all.iter().filter(during).count() as u64 * CPU;
+    let capacity = 8 * crate::worker::CPU;
+    let mut lost = 0;
+    for number in accepted {
+        let id = format!("{number:016x}");
+        let own = all.iter().filter(|it| it.task.starts_with(&id));
+        let running = own.clone().filter(during).count();
+        let done = own.filter(|it| it.ended.is_some_and(|end| end.1 == "done")).count();
+        if running == 0 && done < WIDTH {
+            lost += 1;
+            world.say(format!("LOST: job {id} has {done} of {WIDTH} tasks done and had nothing running for 3 s"));
+        }
+    }
+    world.say(format!("{cores} thousandths of {capacity} were asked for by all that ran in these 3 s"));
+    world.quote_logs(&["role: standing", "crashed with"], 30);
+    match lost {
+        0 => world.finish(0, "all jobs are done or running"),
+        _ if 2 * cores >= capacity => world.finish(NOT_RUN, "half of the capacity is in use"),
+        _ => world.finish(1, &format!("LOST: {lost} of {JOBS} jobs had nothing running for 3 s, with room for them")),
+    }
+}
+
+/// An entry of another writer, of a service that no configuration names, comes to the registry. Its
+/// machine is one on which a worker runs tasks.
+fn foreign_entry(mut world: World) -> ! {
+    const TASKS: usize = 8;
+    let plan: Plan = Arc::new(|_: &str, _| (1_000, 1_000, Course::DoneAfter(Duration::from_millis(4_000))));
+    let runs = set_up(&mut world, 4, plan);
+    let path = "/jobs/5c0e7a21d94b36f8";
+    let body = format!(
+        "{{\"spec\":\"short\",\"steps\":[{{\"count\":{TASKS},\"cpu\":1000,\"memMb\":1000,\"estimateMs\":4000}}]}}"
+    );
+    if world.ask(0, "POST", path, &body).is_none_or(|it| it.0 != 200) {
+        world.finish(NOT_RUN, "the job is not accepted");
+    }
+    if !wait(&runs, 3_000, |it| it.len() >= TASKS) {
+        world.finish(NOT_RUN, "the tasks do not start");
+    }
+    sleep(2_000);
+    if world.trouble {
+        let id = runs.lock().unwrap()[0].worker.clone();
+        let workers = world.workers.lock().unwrap().clone();
+        let Some(worker) = workers.iter().find(|it| it.id() == id) else {
+            world.finish(NOT_RUN, "the worker is gone");
+        };
+        let capacity = object(&[("cpu", 0.into()), ("memMb", 0.into()), ("gpu", 0.into())]);
+        let entry = object(&[
+            ("service", "node-agents".into()),
+            ("address", crate::free_address().to_string().into()),
+            ("zone", "zone-a".into()),
+            ("version", "v1".into()),
+            ("slots", 0.into()),
+            ("state", "ready".into()),
+            ("coldRemainingMs", 0.into()),
+            ("capacity", capacity),
+            ("labels", Value::List(Vec::new())),
+            ("machine", worker.machine.as_str().into()),
+            ("born", crate::unix_ms().into()),
+            ("seq", 1.into()),
+        ]);
+        world.store.write("servers/agent-1", &entry.to_string());
+        world.say(format!("another writer: servers/agent-1 {entry}; worker {id} works on this machine"));
+    }
+    let state = wait_state(&world, path, &["completed", "failed"], 20_000);
+    sleep(2_000);
+    let all = runs.lock().unwrap().clone();
+    let found = doubled_runs(&all);
+    for line in &found {
+        world.say(format!("TWICE: {line}"));
+    }
+    world.quote_logs(&["agent-1", "crashed with", "may have crashed"], 12);
+    match (found.len(), state.as_str()) {
+        (0, "completed") => world.finish(0, "each task ran once, the job is completed"),
+        (0, _) => world.finish(NOT_RUN, &format!("the job is {state}")),
+        (count, _) => world.finish(1, &format!("TWICE is broken {count} times, {} runs of {TASKS} tasks", all.len())),
+    }
+}
