--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -68,7 +68,9 @@
         ("limits", limits),
     ]);
     world.store.write("op/config", &config.to_string());
-    world.say(format!("operator: configuration {version} with maxAttempts {attempts:?} is acknowledged"));
+    world.say(format!(
+        "operator: configuration {version} with maxAttempts {attempts:?} is acknowledged"
+    ));
 }
 
 /// Starts the platform with workers, four in a rack, and three entries.
@@ -130,7 +132,10 @@
                 let noted = earlier.observed.is_some() && !earlier.lapsed;
                 if overlap || (done && noted) {
                     let after = match earlier.ended {
-                        Some(end) if !overlap => format!("{} ms after its end as done", (later.started - end.0).as_millis()),
+                        Some(end) if !overlap => format!(
+                            "{} ms after its end as done",
+                            (later.started - end.0).as_millis()
+                        ),
                         _ => "while it runs".into(),
                     };
                     found.push(format!(
@@ -148,7 +153,11 @@
 fn many_ends(mut world: World) -> ! {
     const TASKS: u64 = 700;
     let plan: Plan = Arc::new(|task: &str, _| {
-        let index: u64 = task.rsplit('.').next().and_then(|it| it.parse().ok()).unwrap_or(0);
+        let index: u64 = task
+            .rsplit('.')
+            .next()
+            .and_then(|it| it.parse().ok())
+            .unwrap_or(0);
         let millis = 2_000 + index * 7_919 % 2_000;
         (20, 20, Course::DoneAfter(Duration::from_millis(millis)))
     });
@@ -157,7 +166,10 @@
     let body = format!(
         "{{\"spec\":\"short\",\"steps\":[{{\"count\":{TASKS},\"cpu\":20,\"memMb\":20,\"estimateMs\":3000}}]}}"
     );
-    if world.ask(0, "POST", path, &body).is_none_or(|it| it.0 != 200) {
+    if world
+        .ask(0, "POST", path, &body)
+        .is_none_or(|it| it.0 != 200)
+    {
         world.finish(NOT_RUN, "the job is not accepted");
     }
     if !wait(&runs, 2_900, |it| it.len() as u64 >= TASKS) {
@@ -176,12 +188,18 @@
         world.say(format!("TWICE: {line}"));
     }
     let total = runs.lock().unwrap().len();
-    world.say(format!("{total} runs of {TASKS} tasks; TWICE is broken {} times", found.len()));
+    world.say(format!(
+        "{total} runs of {TASKS} tasks; TWICE is broken {} times",
+        found.len()
+    ));
     world.quote_logs(&["counts as lost"], 6);
     match (found.len(), state.as_str()) {
         (0, "completed") => world.finish(0, "each task ran once, the job is completed"),
         (0, _) => world.finish(NOT_RUN, &format!("the job is {state}")),
-        (count, _) => world.finish(1, &format!("TWICE is broken {count} times, {total} runs of {TASKS} tasks")),
+        (count, _) => world.finish(
+            1,
+            &format!("TWICE is broken {count} times, {total} runs of {TASKS} tasks"),
+        ),
     }
 }
 
@@ -193,7 +211,10 @@
     let path = "/jobs/5c0e7a21d94b36f8";
     let body = "{\"spec\":\"desk\",\"steps\":[{\"count\":4,\"cpu\":1000,\"memMb\":1000,\"estimateMs\":900,\
                 \"antiAffinity\":1,\"longRunning\":true,\"mayMiss\":1}]}";
-    if world.ask(0, "POST", path, body).is_none_or(|it| it.0 != 200) {
+    if world
+        .ask(0, "POST", path, body)
+        .is_none_or(|it| it.0 != 200)
+    {
         world.finish(NOT_RUN, "the job is not accepted");
     }
     if !wait(&runs, 5_000, |it| it.len() >= 4) {
@@ -204,7 +225,10 @@
     for number in 0..if world.trouble { 4 } else { 0 } {
         let current = || {
             let runs = runs.lock().unwrap();
-            let run = runs.iter().rev().find(|it| it.task == task && it.ended.is_none());
+            let run = runs
+                .iter()
+                .rev()
+                .find(|it| it.task == task && it.ended.is_none());
             run.map(|it| (it.worker.clone(), it.started))
         };
         let until = Instant::now() + Duration::from_secs(8);
@@ -232,17 +256,28 @@
     sleep(8_000);
     let state = world.state(path);
     let all = runs.lock().unwrap().clone();
-    for run in all.iter().filter(|it| it.ended.is_some_and(|end| end.1 == "failed")) {
-        world.say(format!("{} run {} failed on {}", run.task, run.run, run.worker));
+    for run in all
+        .iter()
+        .filter(|it| it.ended.is_some_and(|end| end.1 == "failed"))
+    {
+        world.say(format!(
+            "{} run {} failed on {}",
+            run.task, run.run, run.worker
+        ));
     }
     // Tasks that a stop ends while they are at work, with how many others of the step were away.
     let mut broken = 0;
-    let stopped = all.iter().filter(|it| it.ended.is_some_and(|end| end.1 == "stopped"));
+    let stopped = all
+        .iter()
+        .filter(|it| it.ended.is_some_and(|end| end.1 == "stopped"));
     for run in stopped.clone() {
         let Some((time, _)) = run.ended else { continue };
         let at_work = time - run.started > crate::worker::STARTUP;
         let by_stops = stopped.clone().filter(|it| {
-            it.task != run.task && it.ended.is_some_and(|end| end.0 <= time && time - end.0 < Duration::from_secs(1))
+            it.task != run.task
+                && it
+                    .ended
+                    .is_some_and(|end| end.0 <= time && time - end.0 < Duration::from_secs(1))
         });
         let away = by_stops.count();
         if at_work && away >= MAY_MISS {
@@ -253,12 +288,17 @@
             ));
         }
     }
-    world.say(format!("the job is {state}; nobody cancelled it and no run of it ended failed"));
+    world.say(format!(
+        "the job is {state}; nobody cancelled it and no run of it ended failed"
+    ));
     world.quote_logs(&["may have crashed", "given up as", "ended as"], 10);
     match (broken, state.as_str()) {
         (0, "active") => world.finish(0, "the job goes on"),
         (0, _) => world.finish(NOT_RUN, &format!("the job is {state}, AVAIL holds")),
-        _ => world.finish(1, &format!("AVAIL is broken {broken} times, the job is {state}")),
+        _ => world.finish(
+            1,
+            &format!("AVAIL is broken {broken} times, the job is {state}"),
+        ),
     }
 }
 
@@ -279,7 +319,10 @@
     sleep(2_500);
     let path = "/jobs/5c0e7a21d94b36f8";
     let body = "{\"spec\":\"short\",\"steps\":[{\"count\":1,\"cpu\":1000,\"memMb\":1000,\"estimateMs\":700}]}";
-    if world.ask(0, "POST", path, body).is_none_or(|it| it.0 != 200) {
+    if world
+        .ask(0, "POST", path, body)
+        .is_none_or(|it| it.0 != 200)
+    {
         world.finish(NOT_RUN, "the job is not accepted");
     }
     if !wait(&runs, 3_000, |it| !it.is_empty()) {
@@ -299,7 +342,12 @@
         sleep(4_000);
     }
     let state = wait_state(&world, path, &["completed", "failed"], 20_000);
-    let failed = runs.lock().unwrap().iter().filter(|it| it.ended.is_some_and(|end| end.1 == "failed")).count();
+    let failed = runs
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|it| it.ended.is_some_and(|end| end.1 == "failed"))
+        .count();
     world.quote_logs(&["failed", "ended as", "role: at work"], 10);
     let result = format!("the job is {state} after {failed} failed runs of {ATTEMPTS}");
     match state.as_str() {
@@ -322,12 +370,17 @@
     let mut accepted = Vec::new();
     for number in 0..24 {
         if number == 6 && world.trouble {
-            let large = format!("{{\"spec\":\"large\",\"steps\":[{{\"count\":{TASKS},\"cpu\":1,\"estimateMs\":500}}]}}");
+            let large = format!(
+                "{{\"spec\":\"large\",\"steps\":[{{\"count\":{TASKS},\"cpu\":1,\"estimateMs\":500}}]}}"
+            );
             let answer = world.ask(0, "POST", &format!("/jobs/{LARGE}"), &large);
             world.say(format!("the large job is answered {answer:?}"));
         }
         let path = format!("/jobs/{number:016x}");
-        if world.ask(number % 3, "POST", &path, body).is_some_and(|it| it.0 == 200) {
+        if world
+            .ask(number % 3, "POST", &path, body)
+            .is_some_and(|it| it.0 == 200)
+        {
             accepted.push(path);
         }
         sleep(500);
@@ -337,19 +390,35 @@
     let mut lost = 0;
     for path in &accepted {
         let id = path.rsplit('/').next().unwrap_or_default();
-        let begun = runs.lock().unwrap().iter().filter(|it| it.task.starts_with(id)).count();
+        let begun = runs
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|it| it.task.starts_with(id))
+            .count();
         let state = world.state(path);
         if state != "completed" {
             lost += 1;
             world.say(format!("LOST: {path} is {state}, {begun} runs"));
         }
     }
-    let begun = runs.lock().unwrap().iter().filter(|it| it.task.starts_with(LARGE)).count();
+    let begun = runs
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|it| it.task.starts_with(LARGE))
+        .count();
     world.say(format!("large job: {begun} of {TASKS} tasks have begun"));
     world.quote_logs(&["retrying it"], 3);
     match lost {
         0 => world.finish(0, &format!("all {} jobs are completed", accepted.len())),
-        _ => world.finish(1, &format!("LOST: {lost} of {} accepted jobs are not completed", accepted.len())),
+        _ => world.finish(
+            1,
+            &format!(
+                "LOST: {lost} of {} accepted jobs are not completed",
+                accepted.len()
+            ),
+        ),
     }
 }
 
@@ -360,7 +429,8 @@
     const CPU: u64 = 200;
     /// `finish_s` of the settings.
     const FINISH: Duration = Duration::from_secs(14);
-    let plan: Plan = Arc::new(|_: &str, _| (CPU, 100, Course::DoneAfter(Duration::from_millis(640))));
+    let plan: Plan =
+        Arc::new(|_: &str, _| (CPU, 100, Course::DoneAfter(Duration::from_millis(640))));
     let runs = set_up(&mut world, 8, plan);
     let body = format!(
         "{{\"spec\":\"short\",\"steps\":[{{\"count\":{WIDTH},\"cpu\":{CPU},\"memMb\":100,\"estimateMs\":640}}]}}"
@@ -399,7 +469,9 @@
     let from = Instant::now();
     sleep(3_000);
     let all = runs.lock().unwrap().clone();
-    let during = |run: &&RunLog| run.started < from + Duration::from_secs(3) && run.ended.is_none_or(|it| it.0 > from);
+    let during = |run: &&RunLog| {
+        run.started < from + Duration::from_secs(3) && run.ended.is_none_or(|it| it.0 > from)
+    };
     // The most that ran at a time is at most all that ran within the three seconds.
     let cores = all.iter().filter(during).count() as u64 * CPU;
     let capacity = 8 * crate::worker::CPU;
@@ -408,18 +480,27 @@
         let id = format!("{number:016x}");
         let own = all.iter().filter(|it| it.task.starts_with(&id));
         let running = own.clone().filter(during).count();
-        let done = own.filter(|it| it.ended.is_some_and(|end| end.1 == "done")).count();
+        let done = own
+            .filter(|it| it.ended.is_some_and(|end| end.1 == "done"))
+            .count();
         if running == 0 && done < WIDTH {
             lost += 1;
-            world.say(format!("LOST: job {id} has {done} of {WIDTH} tasks done and had nothing running for 3 s"));
+            world.say(format!(
+                "LOST: job {id} has {done} of {WIDTH} tasks done and had nothing running for 3 s"
+            ));
         }
     }
-    world.say(format!("{cores} thousandths of {capacity} were asked for by all that ran in these 3 s"));
+    world.say(format!(
+        "{cores} thousandths of {capacity} were asked for by all that ran in these 3 s"
+    ));
     world.quote_logs(&["role: standing", "crashed with"], 30);
     match lost {
         0 => world.finish(0, "all jobs are done or running"),
         _ if 2 * cores >= capacity => world.finish(NOT_RUN, "half of the capacity is in use"),
-        _ => world.finish(1, &format!("LOST: {lost} of {JOBS} jobs had nothing running for 3 s, with room for them")),
+        _ => world.finish(
+            1,
+            &format!("LOST: {lost} of {JOBS} jobs had nothing running for 3 s, with room for them"),
+        ),
     }
 }
 
@@ -427,13 +508,22 @@
 /// machine is one on which a worker runs tasks.
 fn foreign_entry(mut world: World) -> ! {
     const TASKS: usize = 8;
-    let plan: Plan = Arc::new(|_: &str, _| (1_000, 1_000, Course::DoneAfter(Duration::from_millis(4_000))));
+    let plan: Plan = Arc::new(|_: &str, _| {
+        (
+            1_000,
+            1_000,
+            Course::DoneAfter(Duration::from_millis(4_000)),
+        )
+    });
     let runs = set_up(&mut world, 4, plan);
     let path = "/jobs/5c0e7a21d94b36f8";
     let body = format!(
         "{{\"spec\":\"short\",\"steps\":[{{\"count\":{TASKS},\"cpu\":1000,\"memMb\":1000,\"estimateMs\":4000}}]}}"
     );
-    if world.ask(0, "POST", path, &body).is_none_or(|it| it.0 != 200) {
+    if world
+        .ask(0, "POST", path, &body)
+        .is_none_or(|it| it.0 != 200)
+    {
         world.finish(NOT_RUN, "the job is not accepted");
     }
     if !wait(&runs, 3_000, |it| it.len() >= TASKS) {
@@ -462,7 +552,9 @@
             ("seq", 1.into()),
         ]);
         world.store.write("servers/agent-1", &entry.to_string());
-        world.say(format!("another writer: servers/agent-1 {entry}; worker {id} works on this machine"));
+        world.say(format!(
+            "another writer: servers/agent-1 {entry}; worker {id} works on this machine"
+        ));
     }
     let state = wait_state(&world, path, &["completed", "failed"], 20_000);
     sleep(2_000);
@@ -475,6 +567,12 @@
     match (found.len(), state.as_str()) {
         (0, "completed") => world.finish(0, "each task ran once, the job is completed"),
         (0, _) => world.finish(NOT_RUN, &format!("the job is {state}")),
-        (count, _) => world.finish(1, &format!("TWICE is broken {count} times, {} runs of {TASKS} tasks", all.len())),
+        (count, _) => world.finish(
+            1,
+            &format!(
+                "TWICE is broken {count} times, {} runs of {TASKS} tasks",
+                all.len()
+            ),
+        ),
     }
 }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -21,11 +21,17 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> &str {
-        self.headers.iter().find(|it| it.0.eq_ignore_ascii_case(name)).map_or("", |it| &it.1)
+        self.headers
+            .iter()
+            .find(|it| it.0.eq_ignore_ascii_case(name))
+            .map_or("", |it| &it.1)
     }
 
     pub fn query(&self, name: &str) -> &str {
-        self.query.iter().find(|it| it.0 == name).map_or("", |it| &it.1)
+        self.query
+            .iter()
+            .find(|it| it.0 == name)
+            .map_or("", |it| &it.1)
     }
 }
 
@@ -60,7 +66,9 @@
         let request = Request {
             method,
             path: path.to_owned(),
-            query: pairs.map(|(name, value)| (name.to_owned(), decode(value))).collect(),
+            query: pairs
+                .map(|(name, value)| (name.to_owned(), decode(value)))
+                .collect(),
             headers,
             body,
         };
@@ -78,8 +86,13 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let hex = bytes.get(at + 1..at + 3).and_then(|it| std::str::from_utf8(it).ok());
-        match (bytes[at], hex.and_then(|it| u8::from_str_radix(it, 16).ok())) {
+        let hex = bytes
+            .get(at + 1..at + 3)
+            .and_then(|it| std::str::from_utf8(it).ok());
+        match (
+            bytes[at],
+            hex.and_then(|it| u8::from_str_radix(it, 16).ok()),
+        ) {
             (b'%', Some(byte)) => {
                 out.push(byte);
                 at += 3;
@@ -107,10 +120,16 @@
         };
         headers.push((name.to_owned(), value.trim().to_owned()));
     }
-    let length = headers.iter().find(|it| it.0.eq_ignore_ascii_case("content-length"));
+    let length = headers
+        .iter()
+        .find(|it| it.0.eq_ignore_ascii_case("content-length"));
     let mut body = vec![0; length.and_then(|it| it.1.parse().ok()).unwrap_or(0)];
     reader.read_exact(&mut body).ok()?;
-    Some((first.trim_end().to_owned(), headers, String::from_utf8_lossy(&body).into_owned()))
+    Some((
+        first.trim_end().to_owned(),
+        headers,
+        String::from_utf8_lossy(&body).into_owned(),
+    ))
 }
 
 /// Sends one request over a new connection; `None` without a complete answer.
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -15,7 +15,10 @@
 impl Value {
     pub fn get(&self, name: &str) -> &Value {
         match self {
-            Self::Object(fields) => fields.iter().find(|it| it.0 == name).map_or(&Self::Null, |it| &it.1),
+            Self::Object(fields) => fields
+                .iter()
+                .find(|it| it.0 == name)
+                .map_or(&Self::Null, |it| &it.1),
             _ => &Self::Null,
         }
     }
@@ -156,16 +159,25 @@
         b'n' => word(bytes, at, "null", Value::Null),
         _ => {
             let start = *at;
-            while bytes.get(*at).is_some_and(|it| b"+-.eE0123456789".contains(it)) {
+            while bytes
+                .get(*at)
+                .is_some_and(|it| b"+-.eE0123456789".contains(it))
+            {
                 *at += 1;
             }
-            std::str::from_utf8(&bytes[start..*at]).ok()?.parse().ok().map(Value::Number)
+            std::str::from_utf8(&bytes[start..*at])
+                .ok()?
+                .parse()
+                .ok()
+                .map(Value::Number)
         }
     }
 }
 
 fn word(bytes: &[u8], at: &mut usize, word: &str, value: Value) -> Option<Value> {
-    bytes[*at..].starts_with(word.as_bytes()).then(|| *at += word.len())?;
+    bytes[*at..]
+        .starts_with(word.as_bytes())
+        .then(|| *at += word.len())?;
     Some(value)
 }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -45,7 +45,10 @@
 impl Record {
     pub fn add(&self, line: impl AsRef<str>) {
         let time = self.started.elapsed().as_secs_f64();
-        self.lines.lock().unwrap().push(format!("{time:9.4}  {}", line.as_ref()));
+        self.lines
+            .lock()
+            .unwrap()
+            .push(format!("{time:9.4}  {}", line.as_ref()));
     }
 }
 
@@ -75,7 +78,10 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 pub fn sleep(millis: u64) {
@@ -98,12 +104,17 @@
 impl World {
     /// Starts the platform and its workers.
     fn new(trouble: bool, record_path: PathBuf) -> Self {
-        let record = Arc::new(Record { started: Instant::now(), lines: Mutex::default() });
+        let record = Arc::new(Record {
+            started: Instant::now(),
+            lines: Mutex::default(),
+        });
         let store = Store::spawn(Arc::clone(&record));
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("the temporary folder is made");
         let deploy = fs::read_to_string("deploy/system.toml").unwrap_or_default();
-        let run = deploy.lines().find_map(|line| line.strip_prefix("run = \""));
+        let run = deploy
+            .lines()
+            .find_map(|line| line.strip_prefix("run = \""));
         let run = run.and_then(|it| it.strip_suffix('"')).unwrap_or_default();
         let program: Vec<String> = run.split(' ').map(str::to_owned).collect();
         Self {
@@ -127,7 +138,9 @@
     pub fn start_entries(&mut self, count: usize) {
         let machines = worker::serve_machines(Arc::clone(&self.workers), Arc::clone(&self.record));
         let template = fs::read_to_string("deploy/settings.jsonc");
-        let Ok(template) = template.map(|it| it.replace("{{#advice}}\"advice\": \"{{.}}\",{{/advice}}", "")) else {
+        let Ok(template) =
+            template.map(|it| it.replace("{{#advice}}\"advice\": \"{{.}}\",{{/advice}}", ""))
+        else {
             self.finish(NOT_RUN, "the settings template cannot be read");
         };
         for index in 0..count {
@@ -140,7 +153,10 @@
                 ("{{listen.frontend|json}}", text(callers.to_string())),
                 ("{{listen.readiness|json}}", text(readiness.to_string())),
                 ("{{ip}}:{{internalPorts.0}}", metrics.to_string()),
-                ("{{platform.address|json}}", text(self.store.address.to_string())),
+                (
+                    "{{platform.address|json}}",
+                    text(self.store.address.to_string()),
+                ),
                 ("{{cloud.address|json}}", text(machines.to_string())),
                 ("{{cloud.dutyPerS|json}}", "64.0".into()),
                 ("{{limits.cpuShare|json}}", "0.25".into()),
@@ -153,17 +169,30 @@
                 ("{{bounds.noticeMs|json}}", "4500".into()),
                 ("{{platform.ttlMinMs|json}}", "1000".into()),
             ];
-            let settings = values.iter().fold(template.clone(), |it, (from, to)| it.replace(from, to));
+            let settings = values
+                .iter()
+                .fold(template.clone(), |it, (from, to)| it.replace(from, to));
             let file = self.folder.join(format!("{name}.jsonc"));
             fs::write(&file, settings).expect("the settings file is written");
             let log = self.folder.join(format!("{name}.log"));
             let slot = self.children.lock().unwrap().len();
             self.children.lock().unwrap().push(None);
-            self.entries.push(Entry { name, callers, readiness, settings: file, log, slot });
+            self.entries.push(Entry {
+                name,
+                callers,
+                readiness,
+                settings: file,
+                log,
+                slot,
+            });
             self.start_entry(index);
         }
         let deadline = Instant::now() + Duration::from_secs(15);
-        while !self.entries.iter().all(|it| http::get_ok(it.readiness, "/wigeonhinge/readyz")) {
+        while !self
+            .entries
+            .iter()
+            .all(|it| http::get_ok(it.readiness, "/wigeonhinge/readyz"))
+        {
             if Instant::now() > deadline {
                 self.finish(NOT_RUN, "the entries are not ready after 15 s");
             }
@@ -174,7 +203,11 @@
 
     pub fn start_entry(&self, index: usize) {
         let entry = &self.entries[index];
-        let log = fs::OpenOptions::new().create(true).append(true).open(&entry.log).unwrap();
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&entry.log)
+            .unwrap();
         let child = Command::new(&self.program[0])
             .args(&self.program[1..])
             .env("WIGEONHINGE_SETTINGS", &entry.settings)
@@ -186,7 +219,10 @@
                 self.say(format!("{} starts, process {}", entry.name, child.id()));
                 self.children.lock().unwrap()[entry.slot] = Some(child);
             }
-            Err(error) => self.finish(NOT_RUN, &format!("{:?} does not start: {error}", self.program)),
+            Err(error) => self.finish(
+                NOT_RUN,
+                &format!("{:?} does not start: {error}", self.program),
+            ),
         }
     }
 
@@ -195,23 +231,38 @@
         if let Some(mut child) = self.children.lock().unwrap()[self.entries[index].slot].take() {
             let _ = child.kill();
             let _ = child.wait();
-            self.record.add(format!("{} is killed", self.entries[index].name));
+            self.record
+                .add(format!("{} is killed", self.entries[index].name));
         }
     }
 
     /// Returns the entry that holds the first partition, by its key in the store.
     pub fn holder(&self) -> Option<usize> {
         let row = self.store.read("wigeonhinge/role/0")?;
-        self.entries.iter().position(|it| row.contains(&format!("\"{}\"", it.name)))
+        self.entries
+            .iter()
+            .position(|it| row.contains(&format!("\"{}\"", it.name)))
     }
 
     /// Sends a client's request to an entry and records it with its answer.
     pub fn ask(&self, index: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
         let entry = &self.entries[index];
-        let answer = http::call(entry.callers, (method, path, "jobs.example"), body, Duration::from_secs(3));
+        let answer = http::call(
+            entry.callers,
+            (method, path, "jobs.example"),
+            body,
+            Duration::from_secs(3),
+        );
         let shown: String = body.chars().take(200).collect();
-        let status = answer.as_ref().map_or("no answer".into(), |(status, body)| format!("{status} {body}"));
-        self.record.add(format!("client: {method} {path} {shown} to {} -> {status}", entry.name));
+        let status = answer
+            .as_ref()
+            .map_or("no answer".into(), |(status, body)| {
+                format!("{status} {body}")
+            });
+        self.record.add(format!(
+            "client: {method} {path} {shown} to {} -> {status}",
+            entry.name
+        ));
         answer
     }
 
@@ -219,7 +270,11 @@
     pub fn state(&self, path: &str) -> String {
         for index in 0..self.entries.len() {
             let alive = self.children.lock().unwrap()[self.entries[index].slot].is_some();
-            let answer = if alive { self.ask(index, "GET", path, "") } else { None };
+            let answer = if alive {
+                self.ask(index, "GET", path, "")
+            } else {
+                None
+            };
             if let Some((200, body)) = answer {
                 return json::parse(&body).get("state").text();
             }
@@ -231,11 +286,14 @@
     pub fn quote_logs(&self, words: &[&str], most: usize) {
         for entry in &self.entries {
             let log = fs::read_to_string(&entry.log).unwrap_or_default();
-            let lines = log.lines().filter(|line| words.iter().any(|it| line.contains(it)));
+            let lines = log
+                .lines()
+                .filter(|line| words.iter().any(|it| line.contains(it)));
             for line in lines.take(most) {
                 let text = json::parse(line).get("msg").text();
                 let time = json::parse(line).get("ts").text();
-                self.record.add(format!("log of {} at {time}: {text}", entry.name));
+                self.record
+                    .add(format!("log of {} at {time}: {text}", entry.name));
             }
         }
     }
@@ -278,11 +336,19 @@
         let _ = fs::write(path, format!("{lines}\nresult {NOT_RUN}: out of time\n"));
         std::process::exit(NOT_RUN);
     });
-    world.say(format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
+    world.say(format!(
+        "case {case}, disruption {}",
+        if trouble { "on" } else { "off" }
+    ));
     cases::play(case, world);
 }
 
 /// Returns a JSON object.
 pub fn object(fields: &[(&str, Value)]) -> Value {
-    Value::Object(fields.iter().map(|(name, value)| ((*name).to_owned(), value.clone())).collect())
+    Value::Object(
+        fields
+            .iter()
+            .map(|(name, value)| ((*name).to_owned(), value.clone()))
+            .collect(),
+    )
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -56,7 +56,12 @@
     fn put(&mut self, key: &str, value: Option<(String, u64)>) {
         let item = value.map(|(value, lease)| {
             let created = self.items.get(key).map_or(self.revision, |it| it.created);
-            Item { value, revision: self.revision, created, lease }
+            Item {
+                value,
+                revision: self.revision,
+                created,
+                lease,
+            }
         });
         match &item {
             Some(item) => {
@@ -70,7 +75,12 @@
 
     /// Ends leases whose time is over.
     fn expire(&mut self, now: Instant) {
-        let ended: Vec<u64> = self.leases.iter().filter(|it| it.1.0 <= now).map(|it| *it.0).collect();
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|it| it.1.0 <= now)
+            .map(|it| *it.0)
+            .collect();
         for lease in ended {
             self.end_lease(lease);
         }
@@ -105,7 +115,11 @@
     pub fn spawn(record: Arc<Record>) -> Arc<Self> {
         let store = Arc::new(Self {
             address: free_address(),
-            state: Mutex::new(State { revision: 1, next_lease: 1_000, ..State::default() }),
+            state: Mutex::new(State {
+                revision: 1,
+                next_lease: 1_000,
+                ..State::default()
+            }),
             changed: Condvar::new(),
             record,
         });
@@ -157,7 +171,10 @@
 
     /// Makes the store answer all calls with 503 for a time, in which leases pause.
     pub fn take_down(&self, time: Duration) {
-        self.record.add(format!("store: down for {} ms, answers 503", time.as_millis()));
+        self.record.add(format!(
+            "store: down for {} ms, answers 503",
+            time.as_millis()
+        ));
         self.state.lock().unwrap().down = true;
         self.changed.notify_all();
         thread::sleep(time);
@@ -175,14 +192,20 @@
         if self.is_down() {
             return Some((503, "{}".into()));
         }
-        let path = request.path.strip_prefix("/wigeonhinge/").unwrap_or_default();
+        let path = request
+            .path
+            .strip_prefix("/wigeonhinge/")
+            .unwrap_or_default();
         match path {
             "kv-key" => self.get(request.query("key")),
             "kv-range" => self.range(request.query("prefix"), request.query("after")),
             "kv-watch" => self.watch(request),
             "kv-txn" => self.commit(&json::parse(&request.body)),
             "kv-lease" => {
-                let ttl = json::parse(&request.body).get("ttlMs").number().clamp(1_000, 600_000);
+                let ttl = json::parse(&request.body)
+                    .get("ttlMs")
+                    .number()
+                    .clamp(1_000, 600_000);
                 let mut state = self.state.lock().unwrap();
                 state.next_lease += 1;
                 let lease = state.next_lease;
@@ -235,7 +258,9 @@
             if !after.is_empty() && key.as_str() <= after {
                 continue;
             }
-            if items.len() >= MAX_PAGE_ITEMS || (bytes > 0 && bytes + item.value.len() > MAX_PAGE_BYTES) {
+            if items.len() >= MAX_PAGE_ITEMS
+                || (bytes > 0 && bytes + item.value.len() > MAX_PAGE_BYTES)
+            {
                 truncated = true;
                 break;
             }
@@ -275,7 +300,10 @@
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let body = object(&[("events", Value::List(events)), ("asOf", state.revision.into())]);
+                let body = object(&[
+                    ("events", Value::List(events)),
+                    ("asOf", state.revision.into()),
+                ]);
                 return Some((200, body.to_string()));
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
@@ -283,10 +311,16 @@
     }
 
     fn commit(&self, body: &Value) -> Reply {
-        let (expect, writes, removes) = (body.get("expectedRev"), body.get("writes"), body.get("remove"));
+        let (expect, writes, removes) = (
+            body.get("expectedRev"),
+            body.get("writes"),
+            body.get("remove"),
+        );
         let count = expect.list().len() + writes.list().len() + removes.list().len();
         let refuse = |status: u16, reason: String| {
-            self.record.add(format!("store: a transaction is refused with {status}: {reason}"));
+            self.record.add(format!(
+                "store: a transaction is refused with {status}: {reason}"
+            ));
             Some((status, object(&[("reason", reason.into())]).to_string()))
         };
         if count > MAX_ENTRIES {
@@ -296,7 +330,10 @@
             let key = write.get("key").text();
             let size = decoded_length(&write.get("value").text());
             if key.len() > MAX_KEY_BYTES || size > MAX_VALUE_BYTES {
-                return refuse(400, format!("{key}: {size} bytes, {MAX_VALUE_BYTES} at most"));
+                return refuse(
+                    400,
+                    format!("{key}: {size} bytes, {MAX_VALUE_BYTES} at most"),
+                );
             }
             if key.starts_with("op/") || key.starts_with("servers/") {
                 return refuse(403, format!("{key} is not the system's"));
@@ -305,9 +342,10 @@
         let mut state = self.state.lock().unwrap();
         state.expire(Instant::now());
         let current = |state: &State, key: &str| state.items.get(key).map_or(0, |it| it.revision);
-        let holds = expect.list().iter().all(|row| {
-            current(&state, &row.get("key").text()) == row.get("revision").number()
-        });
+        let holds = expect
+            .list()
+            .iter()
+            .all(|row| current(&state, &row.get("key").text()) == row.get("revision").number());
         if !holds {
             let items = expect.list().iter().map(|row| {
                 let key = row.get("key").text();
@@ -320,7 +358,10 @@
             return Some((412, body.to_string()));
         }
         let leases = writes.list().iter().map(|it| it.get("lease").number());
-        if leases.filter(|it| *it != 0).any(|it| !state.leases.contains_key(&it)) {
+        if leases
+            .filter(|it| *it != 0)
+            .any(|it| !state.leases.contains_key(&it))
+        {
             return Some((404, "{}".into()));
         }
         state.revision += 1;
@@ -343,11 +384,17 @@
 pub fn encode_base64(bytes: &[u8]) -> String {
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let number = (0..3).fold(0u32, |sum, it| sum << 8 | u32::from(*chunk.get(it).unwrap_or(&0)));
+        let number = (0..3).fold(0u32, |sum, it| {
+            sum << 8 | u32::from(*chunk.get(it).unwrap_or(&0))
+        });
         for digit in 0..4 {
             let used = digit <= chunk.len();
             let value = (number >> (18 - 6 * digit)) & 63;
-            out.push(if used { char::from(DIGITS[value as usize]) } else { '=' });
+            out.push(if used {
+                char::from(DIGITS[value as usize])
+            } else {
+                '='
+            });
         }
     }
     out
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -173,7 +173,11 @@
 
     fn register(&self, seq: u64) {
         let state = self.state.lock().unwrap();
-        let capacity = object(&[("cpu", CPU.into()), ("memMb", MEM_MB.into()), ("gpu", 0.into())]);
+        let capacity = object(&[
+            ("cpu", CPU.into()),
+            ("memMb", MEM_MB.into()),
+            ("gpu", 0.into()),
+        ]);
         let labels = Value::List(vec!["a".into(), self.rack.as_str().into()]);
         let entry = object(&[
             ("service", self.pool.as_str().into()),
@@ -181,7 +185,10 @@
             ("zone", "zone-a".into()),
             ("version", "v1".into()),
             ("slots", 8.into()),
-            ("state", if state.draining { "draining" } else { "ready" }.into()),
+            (
+                "state",
+                if state.draining { "draining" } else { "ready" }.into(),
+            ),
             ("coldRemainingMs", 0.into()),
             ("capacity", capacity),
             ("labels", labels),
@@ -206,7 +213,11 @@
         for end in &state.ends {
             runs[end.log].lapsed = true;
         }
-        self.record.add(format!("worker {} crashes with {} runs", state.id, state.running.len()));
+        self.record.add(format!(
+            "worker {} crashes with {} runs",
+            state.id,
+            state.running.len()
+        ));
         state.up = false;
         state.running.clear();
         drop(runs);
@@ -233,7 +244,10 @@
             next: 1,
             life,
         };
-        self.record.add(format!("worker {} starts on the machine of {before}", state.id));
+        self.record.add(format!(
+            "worker {} starts on the machine of {before}",
+            state.id
+        ));
         drop(state);
         self.register(1);
         self.store.remove(&format!("servers/{before}"));
@@ -241,14 +255,25 @@
 
     fn machine_row(&self) -> Value {
         let state = self.state.lock().unwrap();
-        let capacity = object(&[("cpu", CPU.into()), ("memMb", MEM_MB.into()), ("gpu", 0.into())]);
-        let id = if state.up { state.id.as_str().into() } else { Value::Null };
+        let capacity = object(&[
+            ("cpu", CPU.into()),
+            ("memMb", MEM_MB.into()),
+            ("gpu", 0.into()),
+        ]);
+        let id = if state.up {
+            state.id.as_str().into()
+        } else {
+            Value::Null
+        };
         object(&[
             ("machine", self.machine.as_str().into()),
             ("pool", self.pool.as_str().into()),
             ("state", if state.up { "up" } else { "down" }.into()),
             ("zone", "zone-a".into()),
-            ("labels", Value::List(vec!["a".into(), self.rack.as_str().into()])),
+            (
+                "labels",
+                Value::List(vec!["a".into(), self.rack.as_str().into()]),
+            ),
             ("capacity", capacity),
             ("id", id),
         ])
@@ -261,7 +286,10 @@
             return None;
         }
         let answer = |status: u16, state: &State, reason: &str| {
-            let mut fields = vec![("clockMs", state.clock().into()), ("born", state.born.into())];
+            let mut fields = vec![
+                ("clockMs", state.clock().into()),
+                ("born", state.born.into()),
+            ];
             if !reason.is_empty() {
                 fields.push(("reason", reason.into()));
             }
@@ -275,7 +303,10 @@
             return answer(409, &state, "fence");
         }
         state.fence = body.get("fencingToken").number();
-        let until = body.get("untilMs").number().min(state.clock() + MAX_LEASE_MS);
+        let until = body
+            .get("untilMs")
+            .number()
+            .min(state.clock() + MAX_LEASE_MS);
         state.lease_end = state.lease_end.max(until);
         let (task, run) = (body.get("task").text(), body.get("run").number());
         match request.path.as_str() {
@@ -309,7 +340,10 @@
             return (409, "late");
         }
         let (cpu, mem, course) = (self.plan)(task, run);
-        let used = state.running.keys().map(|(task, run)| (self.plan)(task, *run));
+        let used = state
+            .running
+            .keys()
+            .map(|(task, run)| (self.plan)(task, *run));
         let used = used.fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
         if used.0 + cpu > CPU || used.1 + mem > MEM_MB {
             return (409, "room");
@@ -327,7 +361,8 @@
         });
         state.running.insert((task.to_owned(), run), runs.len() - 1);
         drop(runs);
-        self.record.add(format!("worker {}: {task} run {run} starts", state.id));
+        self.record
+            .add(format!("worker {}: {task} run {run} starts", state.id));
         (200, "")
     }
 
@@ -335,10 +370,19 @@
         let closed = state.closed.entry(task.clone()).or_default();
         *closed = run.max(*closed);
         self.runs.lock().unwrap()[log].ended = Some((Instant::now(), how));
-        self.record.add(format!("worker {}: {task} run {run} ends {how}, end {}", state.id, state.next));
+        self.record.add(format!(
+            "worker {}: {task} run {run} ends {how}, end {}",
+            state.id, state.next
+        ));
         let number = state.next;
         state.next += 1;
-        state.ends.push(End { number, log, task, run, how });
+        state.ends.push(End {
+            number,
+            log,
+            task,
+            run,
+            how,
+        });
     }
 
     /// Ends the runs whose time is over, and all runs once the lease has lapsed.
@@ -381,7 +425,10 @@
             for end in state.ends.iter().filter(|it| it.number <= observed) {
                 runs[end.log].observed = Some(Instant::now());
             }
-            self.record.add(format!("worker {}: ends up to {observed} are acknowledged", state.id));
+            self.record.add(format!(
+                "worker {}: ends up to {observed} are acknowledged",
+                state.id
+            ));
             drop(runs);
             state.ends.retain(|it| it.number > observed);
         }
@@ -406,7 +453,13 @@
                 Course::DoneAfter(limit) | Course::FailsAfter(limit) => (limit, 99),
             };
             let percent = (time.as_millis() * 100 / whole.as_millis()).min(most) as u64;
-            let row = vec![task.as_str().into(), (*run).into(), "".into(), percent.into(), 0.into()];
+            let row = vec![
+                task.as_str().into(),
+                (*run).into(),
+                "".into(),
+                percent.into(),
+                0.into(),
+            ];
             Value::List(row)
         });
         let running: Vec<Value> = running.collect();
@@ -425,7 +478,10 @@
         let finished: Vec<Value> = finished.collect();
         if state.ends.len() > MAX_ENDS {
             let (id, all) = (&state.id, state.ends.len());
-            self.record.add(format!("worker {id}: lists {MAX_ENDS} of {all} ends and {} runs", running.len()));
+            self.record.add(format!(
+                "worker {id}: lists {MAX_ENDS} of {all} ends and {} runs",
+                running.len()
+            ));
         }
         let body = object(&[
             ("clockMs", state.clock().into()),
@@ -442,11 +498,19 @@
     let address = free_address();
     http::serve(address, move |request| {
         if request.method == "GET" {
-            let rows = workers.lock().unwrap().iter().map(|it| it.machine_row()).collect();
+            let rows = workers
+                .lock()
+                .unwrap()
+                .iter()
+                .map(|it| it.machine_row())
+                .collect();
             let body = object(&[("machines", Value::List(rows)), ("nextToken", Value::Null)]);
             return Some((200, body.to_string()));
         }
-        record.add(format!("machines: {} {} is refused", request.path, request.body));
+        record.add(format!(
+            "machines: {} {} is refused",
+            request.path, request.body
+        ));
         Some((409, "{\"reason\":\"busy\"}".into()))
     });
     address
