--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -25,6 +25,7 @@
         "crashes" => crashes(world),
         "hopeless" => hopeless(world),
         "gang" => gang(world),
+        "foreign" => foreign(world),
         _ => world.finish(NOT_RUN, "no such case"),
     }
 }
@@ -239,3 +240,76 @@
         sleep(500);
     }
 }
+
+/// A worker is lost for good while the registry also lists workers of another system.
+fn foreign(mut world: World) {
+    let plan: Plan = Arc::new(|_, _| {
+        (
+            1_900,
+            3_900,
+            Course::DoneAfter(Duration::from_millis(2_100)),
+        )
+    });
+    configure(&world);
+    let runs = start_workers(&world, 9, &plan);
+    world.start_entries(3);
+    sleep(3_000);
+    if world.trouble {
+        for number in 0..10 {
+            let address = crate::free_address();
+            let entry = format!(
+                r#"{{"service":"billing","address":"{address}","zone":"zone-a","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"capacity":{{"cpu":16000,"memMb":65536,"gpu":0}},"labels":["a","r2-{number}"],"machine":"m-f{number:04}","born":{},"seq":1}}"#,
+                crate::unix_ms()
+            );
+            world
+                .store
+                .write(&format!("servers/i-f{number:04}000001"), &entry);
+        }
+        world.say("ten entries of another service are in the registry");
+    }
+    sleep(5_000);
+    let id = job_id(0xf1);
+    let body = r#"{"spec":"load","steps":[{"count":1,"cpu":1900,"memMb":3900,"estimateMs":2100}]}"#;
+    if !submit(&world, &id, body) {
+        world.finish(NOT_RUN, "the job was not accepted");
+    }
+    let accepted = Instant::now();
+    let mut crashed: Option<(Instant, Arc<Worker>)> = None;
+    let mut lost_id = String::new();
+    loop {
+        let seen = runs_of(&runs, &id);
+        if crashed.is_none()
+            && lost_id.is_empty()
+            && let Some(first) = seen.first()
+            && first.started.elapsed() > Duration::from_millis(500)
+        {
+            let workers = world.workers.lock().unwrap().clone();
+            if let Some(worker) = workers.iter().find(|it| it.id() == first.worker) {
+                worker.crash();
+                lost_id = first.worker.clone();
+                crashed = Some((Instant::now(), Arc::clone(worker)));
+            }
+        }
+        if let Some((time, _)) = &crashed
+            && time.elapsed() > Duration::from_millis(4_500)
+        {
+            world.store.remove(&format!("servers/{lost_id}"));
+            crashed = None;
+        }
+        let state = world.state(&path(&id));
+        if state == "completed" {
+            let text = format!(
+                "the job is completed {} ms after it was accepted",
+                accepted.elapsed().as_millis()
+            );
+            world.quote_logs(&["role: taken", "respond"], 12);
+            world.finish(0, &text);
+        }
+        if accepted.elapsed() > Duration::from_secs(75) {
+            world.quote_logs(&["role: taken", "role: given up", "lease of worker"], 40);
+            let count = runs_of(&runs, &id).len();
+            world.finish(1, &format!("LOST: 75 s after it was accepted, the job is {state} and had {count} runs; its worker was lost in the first, and eight workers are idle"));
+        }
+        sleep(500);
+    }
+}
