--- a/review/4/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] || { echo "target/review/standin is missing; run review/build.sh"; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec target/review/standin crashes review/4/record.txt
+exec target/review/standin hopeless review/3/record.txt
