--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] || { echo "target/review/standin is missing; run review/build.sh"; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec target/review/standin foreign review/2/record.txt
+exec target/review/standin ends review/2/record.txt
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,7 +7,9 @@
 mod cases;
 mod http;
 mod json;
+mod more;
 mod store;
+mod support;
 mod worker;
 
 use std::fs;
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -23,6 +23,12 @@
 /// `holdMaxMs` of the settings.
 const MAX_LEASE_MS: u64 = 10_000;
 
+/// `gangMs` of the settings.
+const GANG_WAIT: Duration = Duration::from_millis(3_000);
+
+/// `checkpointS` of the settings.
+const CHECKPOINT_MS: u64 = 500;
+
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
 /// Most ends in one answer.
@@ -40,6 +46,8 @@
     DoneAfter(Duration),
     FailsAfter(Duration),
     Lasts,
+    /// Works together with the other members of its gang, of which there are so many.
+    Gang(usize, Duration),
 }
 
 /// What the workers know of the jobs: the request of a task and the course of its runs.
@@ -58,6 +66,59 @@
     /// Whether the worker's lease lapsed between the two.
     pub lapsed: bool,
     pub course: Course,
+    /// Checkpoint that the start carried.
+    pub checkpoint: String,
+}
+
+impl RunLog {
+    fn is_member(&self, other: &Self) -> bool {
+        let step = |task: &str| task.rsplit_once('.').map(|it| it.0.to_owned());
+        self.run == other.run && step(&self.task) == step(&other.task)
+    }
+
+    /// Returns when the last member of a gang started, once all are present.
+    fn formed(&self, runs: &[RunLog]) -> Option<Instant> {
+        let Course::Gang(members, _) = self.course else {
+            return None;
+        };
+        let all = runs.iter().filter(|it| it.is_member(self));
+        let all: Vec<Instant> = all.map(|it| it.started).collect();
+        all.iter().max().copied().filter(|_| all.len() == members)
+    }
+
+    /// Returns the newest checkpoint of the member of a gang.
+    fn saved(&self, runs: &[RunLog]) -> String {
+        let Some(formed) = self.formed(runs) else {
+            return self.checkpoint.clone();
+        };
+        let end = self.ended.map_or_else(Instant::now, |it| it.0);
+        let time = end.saturating_duration_since(formed).as_millis() as u64;
+        let before = self.checkpoint.get(..8);
+        let before = before.and_then(|it| u64::from_str_radix(it, 16).ok());
+        match time / CHECKPOINT_MS {
+            0 => self.checkpoint.clone(),
+            count => format!(
+                "{:08x}7a21d94b",
+                before.unwrap_or(0) + count * CHECKPOINT_MS
+            ),
+        }
+    }
+
+    /// Returns how the member of a gang ends now, if it does.
+    fn gang_end(&self, runs: &[RunLog]) -> Option<&'static str> {
+        let Course::Gang(_, work) = self.course else {
+            return None;
+        };
+        let Some(formed) = self.formed(runs) else {
+            return (self.started.elapsed() >= GANG_WAIT).then_some("alone");
+        };
+        let mut others = runs.iter().filter(|it| it.is_member(self));
+        let broken = others.any(|it| it.ended.is_some_and(|end| end.1 != "done"));
+        if broken {
+            return Some("broken");
+        }
+        (formed.elapsed() >= work).then_some("done")
+    }
 }
 
 /// All runs of all workers.
@@ -311,7 +372,8 @@
         let (task, run) = (body.get("task").text(), body.get("run").number());
         match request.path.as_str() {
             "/wigeonhinge/run-start" => {
-                let (status, reason) = self.start(&mut state, &task, run);
+                let checkpoint = body.get("checkpoint").text();
+                let (status, reason) = self.start(&mut state, (&task, run), checkpoint);
                 answer(status, &state, reason)
             }
             "/wigeonhinge/run-stop" => {
@@ -329,7 +391,12 @@
         }
     }
 
-    fn start(&self, state: &mut State, task: &str, run: u64) -> (u16, &'static str) {
+    fn start(
+        &self,
+        state: &mut State,
+        (task, run): (&str, u64),
+        checkpoint: String,
+    ) -> (u16, &'static str) {
         if state.running.contains_key(&(task.to_owned(), run)) {
             return (200, "");
         }
@@ -358,11 +425,14 @@
             observed: None,
             lapsed: false,
             course,
+            checkpoint: checkpoint.clone(),
         });
         state.running.insert((task.to_owned(), run), runs.len() - 1);
         drop(runs);
-        self.record
-            .add(format!("worker {}: {task} run {run} starts", state.id));
+        self.record.add(format!(
+            "worker {}: {task} run {run} starts, checkpoint {checkpoint:?}",
+            state.id
+        ));
         (200, "")
     }
 
@@ -405,6 +475,10 @@
                     _ if lapsed => "lapsed",
                     Course::DoneAfter(limit) if time >= limit => "done",
                     Course::FailsAfter(limit) if time >= limit => "failed",
+                    Course::Gang(..) => match runs[*log].gang_end(&runs) {
+                        Some(how) => how,
+                        None => continue,
+                    },
                     _ => continue,
                 };
                 ended.push(((task.clone(), *run, *log), how));
@@ -450,20 +524,21 @@
             let time = runs[*log].started.elapsed();
             let (whole, most) = match runs[*log].course {
                 Course::Lasts => (STARTUP, 100),
-                Course::DoneAfter(limit) | Course::FailsAfter(limit) => (limit, 99),
+                Course::DoneAfter(limit) | Course::FailsAfter(limit) | Course::Gang(_, limit) => {
+                    (limit, 99)
+                }
             };
             let percent = (time.as_millis() * 100 / whole.as_millis()).min(most) as u64;
             let row = vec![
                 task.as_str().into(),
                 (*run).into(),
-                "".into(),
+                runs[*log].saved(&runs).into(),
                 percent.into(),
                 0.into(),
             ];
             Value::List(row)
         });
         let running: Vec<Value> = running.collect();
-        drop(runs);
         let listed = state.ends.iter().take(MAX_ENDS);
         let finished = listed.map(|end| {
             let row = vec![
@@ -471,11 +546,12 @@
                 end.task.as_str().into(),
                 end.run.into(),
                 end.how.into(),
-                "".into(),
+                runs[end.log].saved(&runs).into(),
             ];
             Value::List(row)
         });
         let finished: Vec<Value> = finished.collect();
+        drop(runs);
         if state.ends.len() > MAX_ENDS {
             let (id, all) = (&state.id, state.ends.len());
             self.record.add(format!(
