--- a/review/standin/support.rs
+++ b/review/standin/support.rs
@@ -173,4 +173,5 @@
     );
     let key = format!("servers/i-f{number:04}000001");
     world.store.write(&key, &entry);
+    world.say(format!("another writer: {key} {entry}"));
 }
