batch: runs do not count as lost while their worker lists only a part of its ends

Cause: a worker lists 500 finished runs at a time and the next ones once these are acknowledged. During an outage nothing can be stored, so nothing is acknowledged, and runs whose ends were beyond the first 500 stood in neither list. reconcile_runs took them as lost.

A report now says whether further runs may have ended. Until it is complete, a missing run is not lost: neither a confirmed one, nor one that a successor adopted, nor one whose stop was answered, nor one that was recorded for an incarnation that has just become known. The list shrinks with each acknowledgement, so a lost run is still found.

--- a/crates/cli/src/measure/batch.rs
+++ b/crates/cli/src/measure/batch.rs
@@ -227,6 +227,7 @@
             answered_by: self.now,
             running: running.collect(),
             finished,
+            more_finished: false,
         };
         Event::Report(name(worker), report)
     }
--- a/crates/wigeonhinge/src/batch/report.rs
+++ b/crates/wigeonhinge/src/batch/report.rs
@@ -42,6 +42,8 @@
     pub running: Vec<ActiveRun>,
     /// Runs that have ended and are not acknowledged.
     pub finished: Vec<FinishedRun>,
+    /// Whether further runs may have ended that `finished` does not list.
+    pub more_finished: bool,
 }
 
 /// Run that has not ended, as reported by a worker.
@@ -95,7 +97,7 @@
 }
 
 impl Batch {
-    pub(super) fn apply_report(&mut self, id: &WorkerId, report: Report, now: Time) {
+    pub(super) fn apply_report(&mut self, id: &WorkerId, mut report: Report, now: Time) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -103,7 +105,11 @@
             let restarted = worker.incarnation != 0;
             worker.reset_incarnation(report.incarnation);
             if restarted {
-                self.worker_gone(id, &report.runs(), now);
+                let mut kept = report.runs();
+                if report.more_finished {
+                    kept.extend(self.runs_of_incarnation(id, report.incarnation));
+                }
+                self.worker_gone(id, &kept, now);
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.drained = worker.entry.draining;
                 }
@@ -127,20 +133,30 @@
             self.dirty_pools.insert(worker.entry.pool.clone());
         }
         let last_end = worker.last_end;
-        for end in report
-            .finished
-            .into_iter()
-            .filter(|it| it.number > last_end)
-        {
+        let finished = std::mem::take(&mut report.finished).into_iter();
+        for end in finished.filter(|it| it.number > last_end) {
             self.run_ended(id, end, now);
         }
         for run in &report.running {
             self.run_seen(id, &run.task, run.run);
         }
-        self.reconcile_runs(id, report.running, report.requested_at, now);
+        self.reconcile_runs(id, report, now);
         self.acknowledge(id);
     }
 
+    /// Returns the runs of a worker whose starts are recorded for an incarnation.
+    fn runs_of_incarnation(&self, id: &WorkerId, incarnation: u64) -> Vec<(TaskId, Run)> {
+        let runs = self.workers.get(id).into_iter().flat_map(|it| &it.runs);
+        let recorded = runs.filter(|(task, _)| {
+            let job = self.jobs.get(&task.job);
+            let state = job.and_then(|job| job.task(task));
+            state.is_some_and(|state| state.incarnation == incarnation)
+        });
+        recorded
+            .map(|(task, run)| (task.clone(), run.run))
+            .collect()
+    }
+
     /// Acknowledges the ends of a worker whose results are all stored.
     pub(super) fn acknowledge(&mut self, id: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(id)
@@ -314,14 +330,15 @@
 
     /// Compares the runs that a worker reports with those that may exist on it.
     ///
-    /// Runs that are missing for certain are lost; runs that are not known are stopped.
-    fn reconcile_runs(
-        &mut self,
-        id: &WorkerId,
-        running: Vec<ActiveRun>,
-        requested_at: Time,
-        now: Time,
-    ) {
+    /// Runs that are missing for certain are lost; runs that are not known are stopped. While the
+    /// worker has ends that it does not list, a missing run may be one of them.
+    fn reconcile_runs(&mut self, id: &WorkerId, report: Report, now: Time) {
+        let Report {
+            requested_at,
+            running,
+            more_finished,
+            ..
+        } = report;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -382,6 +399,7 @@
                 unanswered.push(task.clone());
             }
             let gone = match state.stage {
+                _ if more_finished => false,
                 Stage::Reserved => false,
                 // A predecessor recorded the start; the poll raised the worker's fence, so the
                 // start cannot arrive any more.
--- a/crates/wigeonhinge/tests/support/cluster.rs
+++ b/crates/wigeonhinge/tests/support/cluster.rs
@@ -49,6 +49,8 @@
     pub silent: bool,
     /// Whether it carries out starts without an answer, and no stops.
     pub leaves_orders: bool,
+    /// Number of finished runs that it lists at most in one report; 0 for any number.
+    pub listing_limit: usize,
 }
 
 /// The holder of the role, its store and its workers.
@@ -265,12 +267,17 @@
             percent: work.percent,
             measurement: work.measurement,
         });
+        let limit = match node.listing_limit {
+            0 => usize::MAX,
+            limit => limit,
+        };
         let report = Report {
             incarnation: node.incarnation,
             requested_at: self.now,
             answered_by: self.now,
             running: running.collect(),
-            finished: node.finished.clone(),
+            finished: node.finished.iter().take(limit).cloned().collect(),
+            more_finished: node.finished.len() >= limit,
         };
         self.handle(Event::Report(id.into(), report));
     }
--- a/crates/wigeonhinge/tests/support/load.rs
+++ b/crates/wigeonhinge/tests/support/load.rs
@@ -584,6 +584,7 @@
             answered_by: now,
             running: running.collect(),
             finished: node.finished.clone(),
+            more_finished: false,
         };
         self.handle(Event::LeaseExtended(id.into(), now + longest_lease()));
         self.handle(Event::Report(id.into(), report));
