batch: tasks that no worker can run do not block the other tasks of their pool

Cause: a pass over the ready tasks ended after 16 tasks without a worker, or 64 that an earlier miss covers, and each pass began at the head of the queue. Long-running tasks come first and each one counted as a miss, so 16 of them ended every pass.

A pass that ends early now has a second window, which continues where that of the previous pass ended, so each ready task is tried after a bounded number of passes. A miss speaks for its whole step, also for long-running tasks, and for equal or larger tasks with the same label; the other tasks of a covered step are passed over at once. Workers are reserved only from the head of the queue, with the same limit as before. Passes move from batch/place.rs to batch/pass.rs.

--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -8,8 +8,8 @@
 //! - A finished run is acknowledged to its worker only after the store holds its
 //!   result.
 //! - A run that may exist on a worker is considered lost only when the worker
-//!   does not list it under the current fence, the worker has a new incarnation,
-//!   or its lease has expired.
+//!   does not list it in a complete report under the current fence, the worker
+//!   has a new incarnation, or its lease has expired.
 
 mod balance;
 mod catalog;
@@ -25,6 +25,7 @@
 mod maintenance;
 mod outbox;
 mod pace;
+mod pass;
 mod place;
 mod racks;
 mod ready;
@@ -52,6 +53,7 @@
 use crate::batch::demand::Demand;
 use crate::batch::job::Job;
 use crate::batch::maintenance::MaintenanceWaves;
+use crate::batch::ready::Rank;
 use crate::batch::ready::ReadyQueue;
 use crate::batch::worker::Worker;
 use crate::batch::workers::Workers;
@@ -149,6 +151,8 @@
     ready: BTreeMap<PoolId, ReadyQueue>,
     /// Pools in which a ready task may fit since the last placement pass.
     dirty_pools: BTreeSet<PoolId>,
+    /// Where the last pass over a pool ended, if it did not reach the end of the ready queue.
+    pass_ends: BTreeMap<PoolId, Rank>,
     /// Workers that a pool needs besides its own, by pool, for long-running tasks that fit on none.
     unplaced_hosts: BTreeMap<PoolId, usize>,
     /// Workers that get no other tasks until a long-running task fits on them.
@@ -198,6 +202,7 @@
             changed_jobs: VecDeque::new(),
             ready: BTreeMap::new(),
             dirty_pools: BTreeSet::new(),
+            pass_ends: BTreeMap::new(),
             unplaced_hosts: BTreeMap::new(),
             reservations: BTreeMap::new(),
             holds: hold::Holds::default(),
--- a/crates/wigeonhinge/src/batch/hold.rs
+++ b/crates/wigeonhinge/src/batch/hold.rs
@@ -47,6 +47,15 @@
         self.holds.values().any(|hold| hold.worker == *worker)
     }
 
+    /// Returns whether room is held for a task of the same step.
+    pub(super) fn any_in_step(&self, task: &TaskId) -> bool {
+        let at = |index| TaskId {
+            index,
+            ..task.clone()
+        };
+        self.holds.range(at(0)..=at(u32::MAX)).next().is_some()
+    }
+
     pub(super) fn release(&mut self, task: &TaskId) {
         self.holds.remove(task);
     }
--- /dev/null
+++ b/crates/wigeonhinge/src/batch/pass.rs
@@ -0,0 +1,199 @@
+//! Passes over the ready tasks of a pool.
+//!
+//! A pass tries the tasks in the order of their ranks and ends after a number of tasks without a
+//! worker, so that its cost does not grow with the number of waiting tasks. Tasks that no worker can
+//! run may stay at the head of the queue for as long as their jobs are not cancelled. So a pass that
+//! ends early has a second window, which continues where that of the previous pass ended: each ready
+//! task is tried after a bounded number of passes, whatever waits before it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use compact_str::CompactString;
+
+use crate::batch::Batch;
+use crate::batch::Size;
+use crate::batch::Step;
+use crate::batch::TaskId;
+use crate::batch::WorkerId;
+use crate::batch::place::Placement;
+use crate::batch::ready::Rank;
+use crate::id::JobId;
+use crate::id::PoolId;
+use crate::id::Time;
+
+/// Tasks without a suitable worker after which a window of a pass ends.
+const MAX_MISSES: usize = 16;
+
+/// Steps that are passed over because an equal or smaller task found no worker, after which a window
+/// of a pass ends.
+const MAX_SKIPPED: usize = 64;
+
+/// Step of an occurrence of a job.
+type StepId = (JobId, u32, u32);
+
+/// Part of a pass that ends after a number of tasks without a worker.
+#[derive(Debug, Default)]
+struct Window {
+    misses: usize,
+    skipped: usize,
+}
+
+/// What a pass over a pool has found so far.
+///
+/// Within a pass capacity only shrinks, so if a task finds no worker, equal tasks and tasks that ask
+/// for more find none either.
+#[derive(Debug, Default)]
+struct Pass {
+    /// Labels and sizes that tasks found no worker for, of steps that do not limit their tasks on one
+    /// worker. The label is empty if any worker may run the task.
+    requests: Vec<(CompactString, Size)>,
+    /// Steps whose tasks found no worker.
+    steps: BTreeSet<StepId>,
+    /// Workers that get no other tasks until a long-running task fits on them.
+    reserved: BTreeSet<WorkerId>,
+    /// Long-running tasks without a worker that would fit on another machine in the pool: their
+    /// number by step, and how many of them a worker may run.
+    unplaced: BTreeMap<StepId, (u32, u32)>,
+}
+
+impl Window {
+    fn is_full(&self) -> bool {
+        self.misses >= MAX_MISSES || self.skipped >= MAX_SKIPPED
+    }
+}
+
+impl Pass {
+    fn record_miss(&mut self, task: &TaskId, step: &Step) {
+        // The members of a gang need several workers at once.
+        if step.gang {
+            return;
+        }
+        if step.max_per_worker == 0 {
+            self.requests.push((step.requires.clone(), step.size()));
+        }
+        self.steps.insert(step_id(task));
+    }
+
+    /// Returns whether the tasks of a step find no worker for certain, except for those that room is
+    /// held for.
+    fn covers(&self, task: &TaskId, step: &Step) -> bool {
+        let size = step.size();
+        let covered = |(label, missed): &(CompactString, Size)| {
+            (label.is_empty() || *label == step.requires) && missed.fits(size)
+        };
+        let missed = self.steps.contains(&step_id(task)) || self.requests.iter().any(covered);
+        missed && !step.gang
+    }
+
+    fn record_unplaced(&mut self, task: &TaskId, step: &Step) {
+        let entry = self.unplaced.entry(step_id(task));
+        entry.or_insert((0, step.max_per_worker)).0 += 1;
+    }
+
+    /// Returns how many more workers the pool needs; tasks of different steps may share them.
+    fn missing_hosts(&self) -> usize {
+        let hosts = self.unplaced.values().map(|(count, limit)| match limit {
+            0 => 1,
+            limit => count.div_ceil(*limit),
+        });
+        hosts.max().unwrap_or(0) as usize
+    }
+}
+
+impl Batch {
+    /// Places ready tasks of the pools that changed since the last pass.
+    pub(super) fn place_tasks(&mut self, now: Time) {
+        while let Some(pool) = self.dirty_pools.pop_first() {
+            self.place_pool(&pool, now);
+        }
+    }
+
+    fn place_pool(&mut self, pool: &PoolId, now: Time) {
+        let mut pass = Pass::default();
+        let previous_end = self.pass_ends.remove(pool);
+        if let Some(head_end) = self.place_window(pool, &mut pass, None, now) {
+            let start = previous_end.map_or(head_end.clone(), |end| end.max(head_end));
+            if let Some(end) = self.place_window(pool, &mut pass, Some(start), now) {
+                self.pass_ends.insert(pool.clone(), end);
+            }
+        }
+        match pass.missing_hosts() {
+            0 => self.unplaced_hosts.remove(pool),
+            hosts => self.unplaced_hosts.insert(pool.clone(), hosts),
+        };
+    }
+
+    /// Places the tasks of a pool after `start`, or from the head of the queue; returns the last rank
+    /// if the window ended before the queue.
+    fn place_window(
+        &mut self,
+        pool: &PoolId,
+        pass: &mut Pass,
+        start: Option<Rank>,
+        now: Time,
+    ) -> Option<Rank> {
+        // Workers are reserved only for tasks at the head of the queue, and thus for a limited number.
+        let reserves = start.is_none();
+        let mut window = Window::default();
+        let mut last = start;
+        while !window.is_full() {
+            let rank = self.ready.get(pool)?.next(last.as_ref())?.clone();
+            let Some(step) = self.step(&rank.task).cloned() else {
+                self.dequeue(pool, &rank);
+                last = Some(rank);
+                continue;
+            };
+            let has_hold = self.holds.worker(&rank.task).is_some();
+            let covered = !has_hold && pass.covers(&rank.task, &step);
+            let placement = match covered {
+                true => Placement::NoWorker,
+                false => self.place_task(&rank.task, &step, &pass.reserved, now),
+            };
+            if matches!(placement, Placement::Placed | Placement::Gone) {
+                self.dequeue(pool, &rank);
+                self.reservations.remove(&rank.task);
+                last = Some(rank);
+                continue;
+            }
+            // An isolated task needs a worker without new runs, which other tasks do not.
+            if placement == Placement::NoWorker && !covered && !self.is_isolated(&rank.task) {
+                pass.record_miss(&rank.task, &step);
+            }
+            let unplaced = placement == Placement::NoWorker
+                && step.long_running
+                && self.any_machine_fits(pool, &step);
+            if unplaced {
+                pass.record_unplaced(&rank.task, &step);
+            }
+            let may_reserve = reserves && (!covered || step.long_running);
+            if may_reserve && self.reserve_worker(&rank.task, pass, now) || !covered {
+                window.misses += 1;
+                last = Some(rank);
+                continue;
+            }
+            window.skipped += 1;
+            // The other tasks of the step are in the same position, unless they have to be counted.
+            let counted = unplaced && step.max_per_worker > 0;
+            last = match counted || self.holds.any_in_step(&rank.task) {
+                true => Some(rank),
+                false => Some(rank.last_of_step()),
+            };
+        }
+        last
+    }
+
+    /// Keeps a worker from the other tasks of the pass until a task fits there, if one is suitable.
+    fn reserve_worker(&mut self, task: &TaskId, pass: &mut Pass, now: Time) -> bool {
+        let Some(worker) = self.worker_to_reserve(task, &pass.reserved, now) else {
+            return false;
+        };
+        self.reservations.insert(task.clone(), worker.clone());
+        pass.reserved.insert(worker);
+        true
+    }
+}
+
+fn step_id(task: &TaskId) -> StepId {
+    (task.job.clone(), task.occurrence, task.step)
+}
--- a/crates/wigeonhinge/src/batch/place.rs
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -6,30 +6,20 @@
 
 use crate::batch::Batch;
 use crate::batch::Phase;
-use crate::batch::Size;
 use crate::batch::Step;
 use crate::batch::TaskId;
 use crate::batch::WorkerId;
-use crate::batch::ready::Rank;
 use crate::batch::task::Status;
 use crate::batch::task::Task;
 use crate::batch::worker::RunState;
 use crate::batch::worker::Stage;
 use crate::batch::worker::Worker;
-use crate::id::JobId;
 use crate::id::PoolId;
 use crate::id::Time;
 
-/// Tasks without a suitable worker after which a pass over a pool ends.
-const MAX_MISSES: usize = 16;
-
-/// Tasks that are passed over because an equal or smaller one found no worker, after which a pass
-/// over a pool ends.
-const MAX_SKIPPED: usize = 64;
-
 /// Result of an attempt to place a task.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Placement {
+pub(super) enum Placement {
     /// Capacity is reserved.
     Placed,
     /// The task does not wait any more.
@@ -40,144 +30,9 @@
     TooEarly,
 }
 
-/// Tasks that found no worker in the current pass over a pool.
-///
-/// Within a pass capacity only shrinks, so equal tasks and tasks that ask for more find none either.
-#[derive(Debug, Default)]
-struct Misses {
-    /// Requests of tasks that any worker may run.
-    sizes: Vec<Size>,
-    /// Steps, each of an occurrence, whose tasks found no worker.
-    steps: BTreeSet<(JobId, u32, u32)>,
-    count: usize,
-    skipped: usize,
-}
-
-/// Long-running tasks that found no worker in the last pass over a pool.
-#[derive(Debug, Default)]
-struct Unplaced {
-    /// Number of tasks by job, occurrence and step, and how many of them a worker may run.
-    steps: BTreeMap<(JobId, u32, u32), (u32, u32)>,
-}
-
-impl Unplaced {
-    fn record(&mut self, task: &TaskId, step: &Step) {
-        if step.long_running {
-            let key = (task.job.clone(), task.occurrence, task.step);
-            let limit = step.max_per_worker;
-            self.steps.entry(key).or_insert((0, limit)).0 += 1;
-        }
-    }
-
-    /// Returns how many more workers the pool needs; tasks of different steps may share them.
-    fn hosts(&self) -> usize {
-        let hosts = self.steps.values().map(|(count, limit)| match limit {
-            0 => 1,
-            limit => count.div_ceil(*limit),
-        });
-        hosts.max().unwrap_or(0) as usize
-    }
-}
-
-impl Misses {
-    fn record(&mut self, task: &TaskId, step: &Step) {
-        self.count += 1;
-        // Each long-running task may reserve a worker of its own.
-        if step.long_running || step.gang {
-            return;
-        }
-        if step.requires.is_empty() && step.max_per_worker == 0 {
-            self.sizes.push(step.size());
-        }
-        let key = (task.job.clone(), task.occurrence, task.step);
-        self.steps.insert(key);
-    }
-
-    /// Returns whether a task finds no worker for certain.
-    fn covers(&self, task: &TaskId, step: &Step) -> bool {
-        if step.long_running || step.gang || self.count == 0 {
-            return false;
-        }
-        let size = step.size();
-        let key = (task.job.clone(), task.occurrence, task.step);
-        self.sizes.iter().any(|missed| missed.fits(size)) || self.steps.contains(&key)
-    }
-
-    fn full(&self) -> bool {
-        self.count >= MAX_MISSES || self.skipped >= MAX_SKIPPED
-    }
-}
-
 impl Batch {
-    /// Places ready tasks of the pools that changed since the last pass.
-    pub(super) fn place_tasks(&mut self, now: Time) {
-        while let Some(pool) = self.dirty_pools.pop_first() {
-            self.place_pool(&pool, now);
-        }
-    }
-
-    fn place_pool(&mut self, pool: &PoolId, now: Time) {
-        let mut unplaced = Unplaced::default();
-        self.place_ranks(pool, &mut unplaced, now);
-        match unplaced.hosts() {
-            0 => self.unplaced_hosts.remove(pool),
-            hosts => self.unplaced_hosts.insert(pool.clone(), hosts),
-        };
-    }
-
-    fn place_ranks(&mut self, pool: &PoolId, unplaced: &mut Unplaced, now: Time) {
-        let mut misses = Misses::default();
-        // Workers that get no other tasks until a long-running task fits on them.
-        let mut reserved = BTreeSet::new();
-        let mut last: Option<Rank> = None;
-        while !misses.full() {
-            let ready = self.ready.get(pool);
-            let Some(rank) = ready.and_then(|it| it.next(last.as_ref())).cloned() else {
-                return;
-            };
-            let step = self.step(&rank.task).cloned();
-            if let Some(step) = &step
-                && misses.covers(&rank.task, step)
-            {
-                misses.skipped += 1;
-                last = Some(rank);
-                continue;
-            }
-            let placement = match &step {
-                Some(step) => self.place_task(&rank.task, step, &reserved, now),
-                None => Placement::Gone,
-            };
-            match (placement, &step) {
-                (Placement::Placed | Placement::Gone, _) => {
-                    self.dequeue(pool, &rank);
-                    self.reservations.remove(&rank.task);
-                }
-                // Other tasks may find a worker although it has new runs.
-                (Placement::NoWorker, Some(step))
-                    if !step.long_running && self.is_isolated(&rank.task) =>
-                {
-                    misses.count += 1;
-                }
-                (Placement::NoWorker, Some(step)) => {
-                    misses.record(&rank.task, step);
-                    if self.any_machine_fits(pool, step) {
-                        unplaced.record(&rank.task, step);
-                    }
-                }
-                (Placement::NoWorker | Placement::TooEarly, _) => misses.count += 1,
-            }
-            if matches!(placement, Placement::NoWorker | Placement::TooEarly)
-                && let Some(worker) = self.worker_to_reserve(&rank.task, &reserved, now)
-            {
-                self.reservations.insert(rank.task.clone(), worker.clone());
-                reserved.insert(worker);
-            }
-            last = Some(rank);
-        }
-    }
-
     /// Reserves capacity for a task, or for its whole gang.
-    fn place_task(
+    pub(super) fn place_task(
         &mut self,
         task: &TaskId,
         step: &Step,
@@ -224,18 +79,18 @@
     }
 
     /// Returns whether a task of a step would fit on another machine in the pool, whichever it is.
-    fn any_machine_fits(&self, pool: &PoolId, step: &Step) -> bool {
+    pub(super) fn any_machine_fits(&self, pool: &PoolId, step: &Step) -> bool {
         let pool = self.workers.pool(pool);
         let fits = pool.is_some_and(|it| it.fits_when_empty(step.size()));
         fits && step.requires.is_empty()
     }
 
-    fn is_isolated(&self, task: &TaskId) -> bool {
+    pub(super) fn is_isolated(&self, task: &TaskId) -> bool {
         let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
         state.is_some_and(Task::is_isolated)
     }
 
-    fn step(&self, task: &TaskId) -> Option<&Step> {
+    pub(super) fn step(&self, task: &TaskId) -> Option<&Step> {
         self.jobs.get(&task.job)?.step(task.step)
     }
 
--- a/crates/wigeonhinge/src/batch/ready.rs
+++ b/crates/wigeonhinge/src/batch/ready.rs
@@ -23,6 +23,14 @@
     pub(super) task: TaskId,
 }
 
+impl Rank {
+    /// Returns the last rank that a task of the same step and urgency may have.
+    pub(super) fn last_of_step(mut self) -> Self {
+        self.task.index = u32::MAX;
+        self
+    }
+}
+
 /// What a ready task asks of its pool.
 #[derive(Clone, Copy, Debug)]
 struct Request {
