batch: tasks that lost one run at its start begin together, not one a worker

Callers saw accepted jobs with nothing running for seconds after the loss of a zone, although workers had room. The users report LOST from runs as real processes, with one zone without the store for more than 20 s; their records name no cause.

Reproduced with real processes (crates/daemon/tests/zone_cut.rs): the zone of the role's holder is cut off.

Cause: each run that had not survived its start when its worker became silent makes its task a suspect, and a suspect kept its worker from all other tasks until its next run had survived, 1.0 to 2.1 s. After the loss of a zone there are as many suspects as runs that had just started there; for a successor these are all runs of the lost workers. They took every worker with room, one task each.

Suspicion now has degrees. A task that lost one run starts beside others of its kind, on few workers and apart from other tasks; one that lost two starts alone, as before. A task that crashes its workers is still found, after two or three known crashes.

That this is what the users saw is suspected, not shown.

--- a/crates/wigeonhinge/src/batch/crash.rs
+++ b/crates/wigeonhinge/src/batch/crash.rs
@@ -12,6 +12,10 @@
 //! This holds also for a task whose run was just started when the worker became silent, as a
 //! crashed worker may be back only after its lease has ended.
 //!
+//! After the loss of many workers there are many suspects. Those of which one run was lost start
+//! together: otherwise they would take a worker each, and all other tasks would wait meanwhile. If their worker
+//! crashes as well, each of them starts alone.
+//!
 //! A task that was lost at its start again waits until it is known whether its workers crashed, and
 //! then starts on a worker that has no other new run. Otherwise it might crash more workers than the
 //! platform allows before the first crashes are known.
@@ -28,6 +32,7 @@
 use crate::batch::LostRunRow;
 use crate::batch::Phase;
 use crate::batch::Run;
+use crate::batch::Step;
 use crate::batch::TaskId;
 use crate::batch::WorkerEntry;
 use crate::batch::WorkerId;
@@ -83,6 +88,19 @@
 /// The same for a long-running task, which has to run again within 6 s of the end of its last run.
 const LONG_RUNNING_HOLD_TIME: Duration = Duration::from_secs(2);
 
+/// How much speaks for a task crashing the workers that start it.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Suspicion {
+    /// Nothing, or crashes that its runs had outlived for long.
+    #[default]
+    None,
+    /// One worker that was lost at the start of a run. After the loss of a zone or a rack there are
+    /// many such tasks, hardly any of which is the cause.
+    Weak,
+    /// More than that.
+    Strong,
+}
+
 /// Run that was on a worker when the worker crashed or its lease ended.
 #[derive(Clone, Debug)]
 pub(super) struct Casualty {
@@ -102,16 +120,29 @@
             task: task.clone(),
             run: run.run,
             long_running: run.long_running,
-            possible_cause: !run.survived || run.suspect,
+            possible_cause: !run.survived || run.suspicion != Suspicion::None,
             seen: run.seen,
         })
     }
 }
 
 impl Task {
-    /// Returns whether the task may crash its workers, so that it starts on them alone.
-    pub(super) fn is_suspect(&self) -> bool {
-        self.suspicion >= SUSPECT || self.lost_at_start > 0
+    /// Returns how much speaks for the task crashing its workers.
+    pub(super) fn suspicion(&self) -> Suspicion {
+        match self.suspicion >= SUSPECT || self.lost_at_start > 0 {
+            false => Suspicion::None,
+            true if self.suspicion <= SUSPICION.0 && self.lost_at_start <= 1 => Suspicion::Weak,
+            true => Suspicion::Strong,
+        }
+    }
+
+    /// Returns the suspicion that decides where a task of a step may start. The members of a gang start
+    /// together, wherever they fit.
+    pub(super) fn start_suspicion(&self, step: &Step) -> Suspicion {
+        match step.gang {
+            true => Suspicion::None,
+            false => self.suspicion(),
+        }
     }
 
     /// Returns how many workers may have crashed by a run of the task: those that are counted, and those
@@ -144,6 +175,29 @@
 }
 
 impl Worker {
+    /// Returns whether a task may start beside the runs that have not survived their starts.
+    pub(super) fn may_start_beside(&self, suspicion: Suspicion) -> bool {
+        match self.fresh.keys().next_back() {
+            None | Some(Suspicion::None) => true,
+            Some(Suspicion::Weak) => suspicion == Suspicion::Weak,
+            Some(Suspicion::Strong) => false,
+        }
+    }
+
+    /// Returns the cost of a start on the worker, besides its other costs; 0 for the best workers.
+    ///
+    /// A suspect starts without others, so that a crash tells which task caused it. Weak suspects start
+    /// together, so that they keep few workers from other tasks.
+    pub(super) fn start_cost(&self, suspicion: Suspicion) -> u32 {
+        let beside = |kind| self.fresh.contains_key(&kind);
+        match suspicion {
+            Suspicion::None => 0,
+            Suspicion::Weak if beside(Suspicion::None) => 2,
+            Suspicion::Weak => u32::from(!beside(Suspicion::Weak)),
+            Suspicion::Strong => u32::from(!self.fresh.is_empty()),
+        }
+    }
+
     /// Returns whether it is still unknown whether the worker crashed when its lease ended.
     pub(super) fn fate_unknown(&self, now: Time) -> bool {
         !self.lapsed.is_empty() && now.saturating_sub(self.lapsed_at) < EVIDENCE_TIME
@@ -236,7 +290,7 @@
             state.crashes = 0;
             state.unknown_fates.clear();
         }
-        worker.survive(task, state.is_suspect());
+        worker.survive(task, state.suspicion());
         self.dirty_pools.insert(worker.entry.pool.clone());
     }
 
--- a/crates/wigeonhinge/src/batch/pass.rs
+++ b/crates/wigeonhinge/src/batch/pass.rs
@@ -144,8 +144,10 @@
                 last = Some(rank);
                 continue;
             };
-            let has_hold = self.holds.worker(&rank.task).is_some();
-            let covered = !has_hold && pass.covers(&rank.task, &step);
+            // These may fit on a worker on which others do not.
+            let exempt =
+                self.holds.worker(&rank.task).is_some() || self.is_weak_suspect(&rank.task);
+            let covered = !exempt && pass.covers(&rank.task, &step);
             let placement = match covered {
                 true => Placement::NoWorker,
                 false => self.place_task(&rank.task, &step, &pass.reserved, now),
--- a/crates/wigeonhinge/src/batch/place.rs
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -9,6 +9,7 @@
 use crate::batch::Step;
 use crate::batch::TaskId;
 use crate::batch::WorkerId;
+use crate::batch::crash::Suspicion;
 use crate::batch::task::Status;
 use crate::batch::task::Task;
 use crate::batch::worker::RunState;
@@ -85,6 +86,11 @@
         fits && step.requires.is_empty()
     }
 
+    pub(super) fn is_weak_suspect(&self, task: &TaskId) -> bool {
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        state.is_some_and(|state| state.suspicion() == Suspicion::Weak)
+    }
+
     pub(super) fn is_isolated(&self, task: &TaskId) -> bool {
         let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
         state.is_some_and(Task::is_isolated)
@@ -103,11 +109,11 @@
         };
         job.phase = Phase::Active;
         self.holds.release(task);
-        let mut suspect = false;
+        let mut suspicion = Suspicion::None;
         let incarnation = self.workers.get(worker).map_or(0, |it| it.incarnation);
         if let Some(state) = job.task_mut(task) {
             state.incarnation = incarnation;
-            suspect = state.is_suspect() && !step.gang;
+            suspicion = state.start_suspicion(&step);
             state.run = run;
             state.status = Status::Recording {
                 worker: worker.clone(),
@@ -116,7 +122,7 @@
         }
         if let Some(entry) = self.workers.get_mut(worker) {
             let run = RunState {
-                suspect,
+                suspicion,
                 ..RunState::new(run, &step, Stage::Reserved, now)
             };
             entry.insert(task.clone(), run);
@@ -140,7 +146,7 @@
         if state.held_back(now) {
             return None;
         }
-        let suspect = state.is_suspect() && !step.gang;
+        let suspicion = state.start_suspicion(step);
         let isolated = state.is_isolated() && !step.gang;
         let mut taken: BTreeMap<&WorkerId, u64> = BTreeMap::new();
         for (_, worker) in chosen {
@@ -151,8 +157,8 @@
             let chosen_size = step.size().scaled(taken.get(id).copied().unwrap_or(0));
             let held_size = held.get(id).copied().unwrap_or_default();
             worker.accepts_work(now)
-                && worker.fresh_suspects == 0
-                && !(isolated && worker.fresh > 0)
+                && worker.may_start_beside(suspicion)
+                && (!isolated || worker.fresh.is_empty())
                 && !reserved.contains(id)
                 && step
                     .size()
@@ -174,16 +180,15 @@
                 !step.affinity.is_empty() && !worker.entry.labels.contains(&step.affinity);
             let other_rack = rack.is_some_and(|it| it.entry.labels != worker.entry.labels);
             let conflicting = conflicting_runs(step, worker);
-            let shared_start = suspect && worker.fresh > 0;
             let cost = (
                 avoided,
-                shared_start,
+                worker.start_cost(suspicion),
                 no_affinity,
                 other_rack,
                 worker.failure_streak,
                 conflicting,
             );
-            (cost, cost == (false, false, false, false, 0, 0))
+            (cost, cost == (false, 0, false, false, 0, 0))
         };
         let best = |paused: bool| {
             let mut best = None;
--- a/crates/wigeonhinge/src/batch/runs.rs
+++ b/crates/wigeonhinge/src/batch/runs.rs
@@ -54,7 +54,7 @@
                 continue;
             };
             let run = RunState {
-                suspect: state.is_suspect() && !step.gang,
+                suspicion: state.start_suspicion(step),
                 ..RunState::new(state.run, step, Stage::Starting, now)
             };
             if !self.workers.contains_key(name) {
--- a/crates/wigeonhinge/src/batch/worker.rs
+++ b/crates/wigeonhinge/src/batch/worker.rs
@@ -10,6 +10,7 @@
 use crate::batch::WorkerEntry;
 use crate::batch::WorkerId;
 use crate::batch::crash::Casualty;
+use crate::batch::crash::Suspicion;
 use crate::batch::workers::IndexEntry;
 use crate::id::JobId;
 use crate::id::Time;
@@ -97,8 +98,8 @@
     pub(super) seen: bool,
     /// Whether the worker had it for long enough after its start; see `crash`.
     pub(super) survived: bool,
-    /// Whether the task may crash its workers.
-    pub(super) suspect: bool,
+    /// How much speaks for the task crashing its workers.
+    pub(super) suspicion: Suspicion,
 }
 
 /// State of a worker.
@@ -112,9 +113,8 @@
     pub(super) long_running: Size,
     /// Number of long-running runs.
     long_running_count: usize,
-    /// Number of runs that have not survived their starts, and of these the suspects'.
-    pub(super) fresh: usize,
-    pub(super) fresh_suspects: usize,
+    /// Number of runs that have not survived their starts, by the suspicion against their tasks.
+    pub(super) fresh: BTreeMap<Suspicion, usize>,
     /// Runs that were given up when the lease ended, until it is known whether the worker crashed.
     pub(super) lapsed: Vec<Casualty>,
     pub(super) lapsed_at: Time,
@@ -170,8 +170,7 @@
             used: Size::default(),
             long_running: Size::default(),
             long_running_count: 0,
-            fresh: 0,
-            fresh_suspects: 0,
+            fresh: BTreeMap::new(),
             lapsed: Vec::new(),
             lapsed_at: Time::ZERO,
             has_reported: false,
@@ -222,8 +221,9 @@
             self.long_running = self.long_running.plus(run.size);
             self.long_running_count += 1;
         }
-        self.fresh += usize::from(!run.survived);
-        self.fresh_suspects += usize::from(!run.survived && run.suspect);
+        if !run.survived {
+            *self.fresh.entry(run.suspicion).or_default() += 1;
+        }
         self.runs.insert(task, run);
     }
 
@@ -234,16 +234,20 @@
             self.long_running = self.long_running.minus(run.size);
             self.long_running_count -= 1;
         }
-        self.fresh -= usize::from(!run.survived);
-        self.fresh_suspects -= usize::from(!run.survived && run.suspect);
+        if !run.survived
+            && let Some(count) = self.fresh.get_mut(&run.suspicion)
+        {
+            *count -= 1;
+            self.fresh.retain(|_, count| *count > 0);
+        }
         Some(run)
     }
 
     /// Records that a run survived its start.
-    pub(super) fn survive(&mut self, task: &TaskId, suspect: bool) {
+    pub(super) fn survive(&mut self, task: &TaskId, suspicion: Suspicion) {
         if let Some(mut run) = self.remove(task) {
             run.survived = true;
-            run.suspect = suspect;
+            run.suspicion = suspicion;
             self.insert(task.clone(), run);
         }
     }
@@ -389,7 +393,7 @@
             pace_lost: false,
             seen: false,
             survived: false,
-            suspect: false,
+            suspicion: Suspicion::None,
         }
     }
 }
