--- a/crates/daemon/tests/odd_registry.rs
+++ b/crates/daemon/tests/odd_registry.rs
@@ -41,6 +41,7 @@
 #[case::unclosed(&nested(100_000)[..90_000])]
 #[case::number(&odd("127.0.0.1:9", r#""capacity":{"cpu":1e400},"born":1"#))]
 #[case::born(&odd("127.0.0.1:9", r#""capacity":{"cpu":4000},"born":1e300"#))]
+#[case::capacity(&odd("127.0.0.1:9", r#""capacity":{"cpu":18446744073709551615},"born":1"#))]
 #[case::port(&usual("127.0.0.1:99999"))]
 #[case::no_port(&usual("127.0.0.1"))]
 #[case::bytes("\u{0}\u{1}\u{ffff}")]
