batch: name the degrees of suspicion, and wrap long comments

SuspicionLevel is the type, suspicion the field and suspicion_level the method of a task, which had one name before. No change in behaviour; the tests of batch pass.

--- a/crates/wigeonhinge/src/batch/balance.rs
+++ b/crates/wigeonhinge/src/batch/balance.rs
@@ -9,7 +9,7 @@
 use crate::batch::MachineState;
 use crate::batch::TaskId;
 use crate::batch::WorkerId;
-use crate::batch::crash::Suspicion;
+use crate::batch::crash::SuspicionLevel;
 use crate::batch::machines::ManagedMachine;
 use crate::batch::machines::Order;
 use crate::batch::machines::REGISTRATION_TIMEOUT;
@@ -395,7 +395,7 @@
         worker.cordoned_at = worker.cordoned_at.max(now);
         let runs = worker.runs.iter().filter(|(_, run)| {
             let confirmed = matches!(run.stage, Stage::Confirmed(_));
-            confirmed && !run.long_running && run.suspicion == Suspicion::None
+            confirmed && !run.long_running && run.suspicion == SuspicionLevel::None
         });
         let runs: Vec<(TaskId, u32)> = runs
             .map(|(task, run)| (task.clone(), run.percent))
--- a/crates/wigeonhinge/src/batch/crash.rs
+++ b/crates/wigeonhinge/src/batch/crash.rs
@@ -13,8 +13,8 @@
 //! crashed worker may be back only after its lease has ended.
 //!
 //! After the loss of many workers there are many suspects. Those of which one run was lost start
-//! together: otherwise they would take a worker each, and all other tasks would wait meanwhile. If their worker
-//! crashes as well, each of them starts alone.
+//! together: otherwise they would take a worker each, and all other tasks would wait meanwhile. If
+//! their worker crashes as well, each of them starts alone.
 //!
 //! A task that was lost at its start again waits until it is known whether its workers crashed, and
 //! then starts on a worker that has no other new run. Otherwise it might crash more workers than the
@@ -90,12 +90,12 @@
 
 /// How much speaks for a task crashing the workers that start it.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) enum Suspicion {
+pub(super) enum SuspicionLevel {
     /// Nothing, or crashes that its runs had outlived for long.
     #[default]
     None,
-    /// One worker that was lost at the start of a run. After the loss of a zone or a rack there are
-    /// many such tasks, hardly any of which is the cause.
+    /// One worker that crashed or was lost at the start of a run. After the loss of a zone or a rack
+    /// there are many such tasks, hardly any of which is the cause.
     Weak,
     /// More than that.
     Strong,
@@ -120,7 +120,7 @@
             task: task.clone(),
             run: run.run,
             long_running: run.long_running,
-            possible_cause: !run.survived || run.suspicion != Suspicion::None,
+            possible_cause: !run.survived || run.suspicion != SuspicionLevel::None,
             seen: run.seen,
         })
     }
@@ -128,20 +128,22 @@
 
 impl Task {
     /// Returns how much speaks for the task crashing its workers.
-    pub(super) fn suspicion(&self) -> Suspicion {
+    pub(super) fn suspicion_level(&self) -> SuspicionLevel {
         match self.suspicion >= SUSPECT || self.lost_at_start > 0 {
-            false => Suspicion::None,
-            true if self.suspicion <= SUSPICION.0 && self.lost_at_start <= 1 => Suspicion::Weak,
-            true => Suspicion::Strong,
+            false => SuspicionLevel::None,
+            true if self.suspicion <= SUSPICION.0 && self.lost_at_start <= 1 => {
+                SuspicionLevel::Weak
+            }
+            true => SuspicionLevel::Strong,
         }
     }
 
-    /// Returns the suspicion that decides where a task of a step may start. The members of a gang start
-    /// together, wherever they fit.
-    pub(super) fn start_suspicion(&self, step: &Step) -> Suspicion {
+    /// Returns the suspicion that decides where a task of a step may start. The members of a gang
+    /// start together, wherever they fit.
+    pub(super) fn start_suspicion(&self, step: &Step) -> SuspicionLevel {
         match step.gang {
-            true => Suspicion::None,
-            false => self.suspicion(),
+            true => SuspicionLevel::None,
+            false => self.suspicion_level(),
         }
     }
 
@@ -176,25 +178,25 @@
 
 impl Worker {
     /// Returns whether a task may start beside the runs that have not survived their starts.
-    pub(super) fn may_start_beside(&self, suspicion: Suspicion) -> bool {
+    pub(super) fn may_start_beside(&self, suspicion: SuspicionLevel) -> bool {
         match self.fresh.keys().next_back() {
-            None | Some(Suspicion::None) => true,
-            Some(Suspicion::Weak) => suspicion == Suspicion::Weak,
-            Some(Suspicion::Strong) => false,
+            None | Some(SuspicionLevel::None) => true,
+            Some(SuspicionLevel::Weak) => suspicion == SuspicionLevel::Weak,
+            Some(SuspicionLevel::Strong) => false,
         }
     }
 
     /// Returns the cost of a start on the worker, besides its other costs; 0 for the best workers.
     ///
-    /// A suspect starts without others, so that a crash tells which task caused it. Weak suspects start
-    /// together, so that they keep few workers from other tasks.
-    pub(super) fn start_cost(&self, suspicion: Suspicion) -> u32 {
+    /// A suspect starts without others, so that a crash tells which task caused it. Weak suspects
+    /// start together, so that they keep few workers from other tasks.
+    pub(super) fn start_cost(&self, suspicion: SuspicionLevel) -> u32 {
         let beside = |kind| self.fresh.contains_key(&kind);
         match suspicion {
-            Suspicion::None => 0,
-            Suspicion::Weak if beside(Suspicion::None) => 2,
-            Suspicion::Weak => u32::from(!beside(Suspicion::Weak)),
-            Suspicion::Strong => u32::from(!self.fresh.is_empty()),
+            SuspicionLevel::None => 0,
+            SuspicionLevel::Weak if beside(SuspicionLevel::None) => 2,
+            SuspicionLevel::Weak => u32::from(!beside(SuspicionLevel::Weak)),
+            SuspicionLevel::Strong => u32::from(!self.fresh.is_empty()),
         }
     }
 
@@ -290,7 +292,7 @@
             state.crashes = 0;
             state.unknown_fates.clear();
         }
-        worker.survive(task, state.suspicion());
+        worker.survive(task, state.suspicion_level());
         self.dirty_pools.insert(worker.entry.pool.clone());
     }
 
--- a/crates/wigeonhinge/src/batch/pass.rs
+++ b/crates/wigeonhinge/src/batch/pass.rs
@@ -144,7 +144,7 @@
                 last = Some(rank);
                 continue;
             };
-            // These may fit on a worker on which others do not.
+            // Such a task may fit on a worker on which equal ones do not.
             let exempt =
                 self.holds.worker(&rank.task).is_some() || self.is_weak_suspect(&rank.task);
             let covered = !exempt && pass.covers(&rank.task, &step);
@@ -169,7 +169,8 @@
                 pass.record_unplaced(&rank.task, &step);
             }
             let may_reserve = reserves && (!covered || step.long_running);
-            if may_reserve && self.reserve_worker(&rank.task, pass, now) || !covered {
+            let reserved = may_reserve && self.reserve_worker(&rank.task, pass, now);
+            if reserved || !covered {
                 window.misses += 1;
                 last = Some(rank);
                 continue;
--- a/crates/wigeonhinge/src/batch/place.rs
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -9,7 +9,7 @@
 use crate::batch::Step;
 use crate::batch::TaskId;
 use crate::batch::WorkerId;
-use crate::batch::crash::Suspicion;
+use crate::batch::crash::SuspicionLevel;
 use crate::batch::task::Status;
 use crate::batch::task::Task;
 use crate::batch::worker::RunState;
@@ -86,11 +86,13 @@
         fits && step.requires.is_empty()
     }
 
+    /// Returns whether a task may start beside other weak suspects.
     pub(super) fn is_weak_suspect(&self, task: &TaskId) -> bool {
         let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
-        state.is_some_and(|state| state.suspicion() == Suspicion::Weak)
+        state.is_some_and(|state| state.suspicion_level() == SuspicionLevel::Weak)
     }
 
+    /// Returns whether a task needs a worker without new runs.
     pub(super) fn is_isolated(&self, task: &TaskId) -> bool {
         let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
         state.is_some_and(Task::is_isolated)
@@ -109,7 +111,7 @@
         };
         job.phase = Phase::Active;
         self.holds.release(task);
-        let mut suspicion = Suspicion::None;
+        let mut suspicion = SuspicionLevel::None;
         let incarnation = self.workers.get(worker).map_or(0, |it| it.incarnation);
         if let Some(state) = job.task_mut(task) {
             state.incarnation = incarnation;
--- a/crates/wigeonhinge/src/batch/worker.rs
+++ b/crates/wigeonhinge/src/batch/worker.rs
@@ -10,7 +10,7 @@
 use crate::batch::WorkerEntry;
 use crate::batch::WorkerId;
 use crate::batch::crash::Casualty;
-use crate::batch::crash::Suspicion;
+use crate::batch::crash::SuspicionLevel;
 use crate::batch::workers::IndexEntry;
 use crate::id::JobId;
 use crate::id::Time;
@@ -99,7 +99,7 @@
     /// Whether the worker had it for long enough after its start; see `crash`.
     pub(super) survived: bool,
     /// How much speaks for the task crashing its workers.
-    pub(super) suspicion: Suspicion,
+    pub(super) suspicion: SuspicionLevel,
 }
 
 /// State of a worker.
@@ -114,7 +114,7 @@
     /// Number of long-running runs.
     long_running_count: usize,
     /// Number of runs that have not survived their starts, by the suspicion against their tasks.
-    pub(super) fresh: BTreeMap<Suspicion, usize>,
+    pub(super) fresh: BTreeMap<SuspicionLevel, usize>,
     /// Runs that were given up when the lease ended, until it is known whether the worker crashed.
     pub(super) lapsed: Vec<Casualty>,
     pub(super) lapsed_at: Time,
@@ -244,7 +244,7 @@
     }
 
     /// Records that a run survived its start.
-    pub(super) fn survive(&mut self, task: &TaskId, suspicion: Suspicion) {
+    pub(super) fn survive(&mut self, task: &TaskId, suspicion: SuspicionLevel) {
         if let Some(mut run) = self.remove(task) {
             run.survived = true;
             run.suspicion = suspicion;
@@ -393,7 +393,7 @@
             pace_lost: false,
             seen: false,
             survived: false,
-            suspicion: Suspicion::None,
+            suspicion: SuspicionLevel::None,
         }
     }
 }
