batch: passes look behind the head of the ready queue only after a tick

Passes follow each burst of messages.

The window belongs to the first pass after a tick now, ten a second, which still goes through 640 covered steps a second. A pass without it does not lower the number of machines that a pool needs, as it may have missed some of the tasks.

--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -151,7 +151,9 @@
     ready: BTreeMap<PoolId, ReadyQueue>,
     /// Pools in which a ready task may fit since the last placement pass.
     dirty_pools: BTreeSet<PoolId>,
-    /// Where the last pass over a pool ended, if it did not reach the end of the ready queue.
+    /// Pools of which the next pass also tries tasks behind the head of the ready queue.
+    rest_due: BTreeSet<PoolId>,
+    /// Where the last pass behind the head of a pool's ready queue ended before the queue.
     pass_ends: BTreeMap<PoolId, Rank>,
     /// Workers that a pool needs besides its own, by pool, for long-running tasks that fit on none.
     unplaced_hosts: BTreeMap<PoolId, usize>,
@@ -202,6 +204,7 @@
             changed_jobs: VecDeque::new(),
             ready: BTreeMap::new(),
             dirty_pools: BTreeSet::new(),
+            rest_due: BTreeSet::new(),
             pass_ends: BTreeMap::new(),
             unplaced_hosts: BTreeMap::new(),
             reservations: BTreeMap::new(),
@@ -506,8 +509,8 @@
         self.balance_pools(now);
         // No event reports that the pause of a worker or task is over.
         let waiting = self.ready.iter().filter(|(_, ready)| !ready.is_empty());
-        self.dirty_pools
-            .extend(waiting.map(|(pool, _)| pool.clone()));
+        self.rest_due.extend(waiting.map(|(pool, _)| pool.clone()));
+        self.dirty_pools.extend(self.rest_due.iter().cloned());
     }
 
     fn log(&mut self, line: String) {
--- a/crates/wigeonhinge/src/batch/pass.rs
+++ b/crates/wigeonhinge/src/batch/pass.rs
@@ -2,9 +2,10 @@
 //!
 //! A pass tries the tasks in the order of their ranks and ends after a number of tasks without a
 //! worker, so that its cost does not grow with the number of waiting tasks. Tasks that no worker can
-//! run may stay at the head of the queue for as long as their jobs are not cancelled. So a pass that
-//! ends early has a second window, which continues where that of the previous pass ended: each ready
-//! task is tried after a bounded number of passes, whatever waits before it.
+//! run may stay at the head of the queue for as long as their jobs are not cancelled. So the first
+//! pass after a tick that ends early has a second window, which continues where the last one ended:
+//! each ready task is tried after a bounded number of ticks, whatever waits before it. Passes follow
+//! each burst of messages, hundreds a second on a large fleet, so they cannot all have one.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -22,11 +23,14 @@
 use crate::id::PoolId;
 use crate::id::Time;
 
-/// Tasks without a suitable worker after which a window of a pass ends.
+/// Tasks without a suitable worker after which a window of a pass ends. Each one costs a search of the
+/// pool's open workers, so this bounds the cost of a pass over a pool in a flood; it also bounds the
+/// workers that one pass reserves.
 const MAX_MISSES: usize = 16;
 
 /// Steps that are passed over because an equal or smaller task found no worker, after which a window
-/// of a pass ends.
+/// of a pass ends. It bounds the cost of a pass over a long queue of equal jobs, and ten ticks a second
+/// go through 640 such steps.
 const MAX_SKIPPED: usize = 64;
 
 /// Step of an occurrence of a job.
@@ -111,14 +115,30 @@
 
     fn place_pool(&mut self, pool: &PoolId, now: Time) {
         let mut pass = Pass::default();
-        let previous_end = self.pass_ends.remove(pool);
-        if let Some(head_end) = self.place_window(pool, &mut pass, None, now) {
-            let start = previous_end.map_or(head_end.clone(), |end| end.max(head_end));
-            if let Some(end) = self.place_window(pool, &mut pass, Some(start), now) {
-                self.pass_ends.insert(pool.clone(), end);
+        let rest_due = self.rest_due.remove(pool);
+        let head_end = self.place_window(pool, &mut pass, None, now);
+        let partial = head_end.is_some() && !rest_due;
+        match head_end {
+            Some(head_end) if rest_due => {
+                let previous = self.pass_ends.remove(pool);
+                let start = previous.map_or(head_end.clone(), |end| end.max(head_end));
+                if let Some(end) = self.place_window(pool, &mut pass, Some(start), now) {
+                    self.pass_ends.insert(pool.clone(), end);
+                }
+            }
+            Some(_) => {}
+            None => {
+                self.pass_ends.remove(pool);
             }
         }
-        match pass.missing_hosts() {
+        self.record_hosts(pool, pass.missing_hosts(), partial);
+    }
+
+    /// Records how many more workers a pool needs. A partial pass may have missed some of the tasks
+    /// that need them, so it does not lower the number.
+    fn record_hosts(&mut self, pool: &PoolId, hosts: usize, partial: bool) {
+        let known = self.unplaced_hosts.get(pool).copied().unwrap_or(0);
+        match if partial { hosts.max(known) } else { hosts } {
             0 => self.unplaced_hosts.remove(pool),
             hosts => self.unplaced_hosts.insert(pool.clone(), hosts),
         };
@@ -144,10 +164,7 @@
                 last = Some(rank);
                 continue;
             };
-            // Such a task may fit on a worker on which equal ones do not.
-            let exempt =
-                self.holds.worker(&rank.task).is_some() || self.is_weak_suspect(&rank.task);
-            let covered = !exempt && pass.covers(&rank.task, &step);
+            let covered = pass.covers(&rank.task, &step) && !self.may_fit_elsewhere(&rank.task);
             let placement = match covered {
                 true => Placement::NoWorker,
                 false => self.place_task(&rank.task, &step, &pass.reserved, now),
@@ -186,6 +203,11 @@
         last
     }
 
+    /// Returns whether a task may fit on a worker on which equal tasks do not.
+    fn may_fit_elsewhere(&self, task: &TaskId) -> bool {
+        self.holds.worker(task).is_some() || self.is_weak_suspect(task)
+    }
+
     /// Keeps a worker from the other tasks of the pass until a task fits there, if one is suitable.
     fn reserve_worker(&mut self, task: &TaskId, pass: &mut Pass, now: Time) -> bool {
         let Some(worker) = self.worker_to_reserve(task, &pass.reserved, now) else {
