batch: the address of a worker is decoded once

A registry entry kept its address as text, which the decoder checked and the connection parsed again, with an error that could not occur any more. WorkerEntry holds a socket address now; it has none if the worker is known from stored rows only.

--- a/crates/cli/src/measure/batch.rs
+++ b/crates/cli/src/measure/batch.rs
@@ -128,7 +128,7 @@
         };
         let entries = (0..workers).map(|index| WorkerEntry {
             id: name(index),
-            address: "127.0.0.1:1".into(),
+            address: "127.0.0.1:1".parse().ok(),
             pool: format!("pool-{}", index % POOLS).into(),
             capacity: Size {
                 millicores: 16_000,
--- a/crates/daemon/src/site/role/registry.rs
+++ b/crates/daemon/src/site/role/registry.rs
@@ -89,20 +89,17 @@
         if !self.batch.expects_reports(&entry.id) {
             return;
         }
-        let address = entry.address.parse().ok();
         let known = self.workers.get(&entry.id).map(|it| it.address);
-        if known.is_some() && known == address {
+        if known.is_some() && known == entry.address {
             return;
         }
         let contact = Rc::clone(&self.term.contact);
         let (log, metrics) = (self.shared.log.clone(), self.shared.metrics.clone());
         let channels = (log, metrics, self.inbox.clone());
-        match worker::spawn(entry, self.rack_fence(&entry.rack), contact, channels) {
-            Some(handle) => {
-                self.record_lease(&entry.id);
-                self.workers.insert(entry.id.clone(), handle);
-            }
-            None => self.log_invalid(&entry.id, "the address is not of the form IP:port"),
+        let handle = worker::spawn(entry, self.rack_fence(&entry.rack), contact, channels);
+        if let Some(handle) = handle {
+            self.record_lease(&entry.id);
+            self.workers.insert(entry.id.clone(), handle);
         }
     }
 
--- a/crates/daemon/src/site/worker.rs
+++ b/crates/daemon/src/site/worker.rs
@@ -83,14 +83,14 @@
     unresponsive: Cell<bool>,
 }
 
-/// Starts the tasks for a worker; returns `None` if its address is invalid.
+/// Starts the tasks for a worker; returns `None` if its address is unknown.
 pub(super) fn spawn(
     entry: &WorkerEntry,
     fence: Fence,
     contact: Rc<Cell<Contact>>,
     (log, metrics, inbox): (Logger, Metrics, Sender<Message>),
 ) -> Option<Handle> {
-    let address: SocketAddr = entry.address.parse().ok()?;
+    let address = entry.address?;
     let inner = Rc::new(Inner {
         target: Target {
             worker: entry.id.clone(),
--- a/crates/wigeonhinge/src/batch/spec.rs
+++ b/crates/wigeonhinge/src/batch/spec.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::fmt::Display;
 use std::fmt::Formatter;
+use std::net::SocketAddr;
 
 use compact_str::CompactString;
 use serde::Deserialize;
@@ -89,8 +90,8 @@
 pub struct WorkerEntry {
     /// Identifier of the worker.
     pub id: WorkerId,
-    /// Address as `IP:port`.
-    pub address: CompactString,
+    /// Address at which the worker takes calls; `None` if it is known from stored rows only.
+    pub address: Option<SocketAddr>,
     /// Pool that the worker belongs to.
     pub pool: PoolId,
     /// Availability zone of the machine.
--- a/crates/wigeonhinge/tests/support/cluster.rs
+++ b/crates/wigeonhinge/tests/support/cluster.rs
@@ -105,7 +105,7 @@
 pub fn entry(id: &str) -> WorkerEntry {
     WorkerEntry {
         id: id.into(),
-        address: "127.0.0.1:1".into(),
+        address: "127.0.0.1:1".parse().ok(),
         pool: POOL.into(),
         zone: "a".into(),
         rack: "r1-1".into(),
--- a/crates/wigeonhinge/tests/support/load.rs
+++ b/crates/wigeonhinge/tests/support/load.rs
@@ -517,7 +517,7 @@
         host.worker.clone_from(&worker);
         let entry = WorkerEntry {
             id: worker.as_str().into(),
-            address: "127.0.0.1:1".into(),
+            address: "127.0.0.1:1".parse().ok(),
             pool: host.pool.as_str().into(),
             zone: "a".into(),
             rack: "r1".into(),
