--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -134,6 +134,8 @@
     in_flight: BTreeSet<CallSlot>,
     /// Earliest time of the next call of each slot.
     next_call: BTreeMap<CallSlot, Time>,
+    /// Set if the list of the entries that is in flight was sent before this entry registered.
+    list_precedes_registration: bool,
 }
 
 /// What a call is about; at most one call of a slot is in flight.
@@ -162,6 +164,7 @@
             entries: BTreeMap::new(),
             in_flight: BTreeSet::new(),
             next_call: BTreeMap::new(),
+            list_precedes_registration: false,
         }
     }
 
@@ -304,6 +307,9 @@
                 self.update_roles(&items, now, &mut effects)
             }
             (Call::ListEntries, Answer::Listed(items)) => {
+                if std::mem::take(&mut self.list_precedes_registration) {
+                    self.next_call.insert(CallSlot::Entries, now);
+                }
                 self.update_entries(&items, now, &mut effects)
             }
             (Call::ReadEntry(entry), Answer::Entry(found)) => self.set_entry(entry, found),
@@ -359,12 +365,14 @@
     /// A restarted entry conflicts with the key of its former session and retries
     /// from that version. After success the entries are listed at once: of two
     /// entries that start together, the one that registers later sees the other.
+    /// A list that is in flight may not show it, so another one follows.
     fn record_registration(&mut self, swap: Swap, now: Time) {
         match swap {
             Swap::Done(version) => {
                 self.registered = true;
                 self.own_version = version;
                 self.next_call.insert(CallSlot::Entries, now);
+                self.list_precedes_registration = self.in_flight.contains(&CallSlot::Entries);
             }
             Swap::Conflict(version) => self.own_version = version,
         }
--- a/crates/daemon/tests/session.rs
+++ b/crates/daemon/tests/session.rs
@@ -157,3 +157,22 @@
             .contains(&Call::Register(1, 3))
     );
 }
+
+/// Guards against an entry that knows nobody for a list interval, because the list that was under
+/// way when it registered lacks the entries that registered meanwhile.
+#[test]
+fn register_during_list() {
+    let mut session = granted();
+    session.due_calls(&only_candidate(), ms(20));
+    let done = Answer::Swapped(Swap::Done(1));
+    session.handle_answer(Call::Register(1, 0), ms(20), done, ms(30));
+    let calls = session.due_calls(&only_candidate(), ms(40));
+    assert!(!calls.contains(&Call::ListEntries), "a list is under way");
+    session.handle_answer(Call::ListEntries, ms(0), listed(&[]), ms(50));
+    let calls = session.due_calls(&only_candidate(), ms(60));
+    assert!(calls.contains(&Call::ListEntries));
+    let own = listed(&[("entry/a", 1)]);
+    session.handle_answer(Call::ListEntries, ms(60), own, ms(70));
+    let calls = session.due_calls(&only_candidate(), ms(80));
+    assert!(!calls.contains(&Call::ListEntries));
+}
