--- a/crates/daemon/src/plane/core/messages.rs
+++ b/crates/daemon/src/plane/core/messages.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use slog::debug;
 use slog::warn;
 use wigeonhinge::Time;
 use wigeonhinge::config;
@@ -78,6 +79,15 @@
     }
 
     fn handle_heartbeat(&mut self, entry: EntryId, heartbeat: Heartbeat, now: Time) {
+        if heartbeat.introduction {
+            if entry != self.control.own().entry
+                && !self.gossip.record_introduction(&heartbeat, now)
+            {
+                warn!(self.log, "peer: ignored an introduction without a usable address";
+                    "entry" => %entry, "address" => heartbeat.address);
+            }
+            return;
+        }
         let zone = heartbeat.zone.as_str().into();
         if !self
             .members
@@ -182,8 +192,31 @@
         if self.blocked.contains(entry) {
             return;
         }
-        if let Some(address) = self.gossip.address(entry) {
-            self.peers.send(entry, address, message);
+        match self.gossip.address(entry) {
+            Some(address) => self.peers.send(entry, address, message),
+            None => debug!(self.log, "peer: no address is known; message dropped";
+                "entry" => %entry),
+        }
+    }
+
+    /// Makes this entry known to registered entries that get no heartbeats of it.
+    fn send_introductions(&mut self) {
+        let due = self.gossip.due_introductions();
+        if due.is_empty() {
+            return;
+        }
+        let own = self.control.own();
+        let heartbeat = Heartbeat {
+            entry: own.entry.to_string(),
+            zone: own.zone.to_string(),
+            address: own.address.to_string(),
+            incarnation: self.incarnation,
+            introduction: true,
+            ..Heartbeat::default()
+        };
+        let message = encode("", Body::Heartbeat(heartbeat));
+        for entry in due {
+            self.send_encoded(&entry, message.clone());
         }
     }
 
@@ -218,6 +251,9 @@
         };
         self.gossip.fill_heartbeat(&mut heartbeat);
         self.broadcast(encode("", Body::Heartbeat(heartbeat)), interzone);
+        if interzone {
+            self.send_introductions();
+        }
     }
 
     /// Sends a message to every entry of the zone and, if `interzone`, to some of each other zone.
--- a/crates/daemon/src/plane/gossip.rs
+++ b/crates/daemon/src/plane/gossip.rs
@@ -28,6 +28,9 @@
 const UNREACHABLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Silence after which the reported state of a peer, including its address, is dropped.
+///
+/// Longer than [`ENTRY_LIST_INTERVAL`](crate::session::ENTRY_LIST_INTERVAL), so that the registry
+/// names an entry by the time its introduction is dropped.
 const PEER_EXPIRY: Duration = Duration::from_secs(10);
 
 /// Addresses of entries, leaving VMs, ledger summaries and the last heartbeat of each peer.
@@ -37,6 +40,10 @@
     zone: ZoneId,
     configured: BTreeMap<EntryId, (ZoneId, SocketAddr)>,
     registry: BTreeMap<EntryId, (ZoneId, SocketAddr)>,
+    /// Entries that introduced themselves, and when.
+    introduced: BTreeMap<EntryId, (ZoneId, SocketAddr, Time)>,
+    /// Registered addresses that this entry introduced itself at.
+    introduced_at: BTreeMap<EntryId, SocketAddr>,
     peers: BTreeMap<EntryId, Peer>,
     unreachable: BTreeMap<EntryId, Time>,
     /// Time of the newest VM list in milliseconds, and the VMs in it that are not live.
@@ -66,6 +73,8 @@
             zone,
             configured: BTreeMap::new(),
             registry: BTreeMap::new(),
+            introduced: BTreeMap::new(),
+            introduced_at: BTreeMap::new(),
             peers: BTreeMap::new(),
             unreachable: BTreeMap::new(),
             vm_list: (0, BTreeSet::new()),
@@ -100,6 +109,47 @@
             .collect();
     }
 
+    /// Returns the registered entries that this one has to introduce itself to.
+    ///
+    /// These get no heartbeats and got no introduction at their address yet. Until they list the registry
+    /// themselves they do not know this entry and drop their answers to it.
+    pub(crate) fn due_introductions(&mut self) -> Vec<EntryId> {
+        let registry = &self.registry;
+        self.introduced_at.retain(|entry, known| {
+            registry
+                .get(entry)
+                .is_some_and(|(_, address)| address == known)
+        });
+        let targets = self.targets(true);
+        let due: BTreeMap<EntryId, SocketAddr> = self
+            .registry
+            .iter()
+            .filter(|(entry, _)| !targets.contains_key(*entry))
+            .filter(|(entry, _)| !self.unreachable.contains_key(*entry))
+            .filter(|(entry, _)| !self.introduced_at.contains_key(*entry))
+            .map(|(entry, (_, address))| (entry.clone(), *address))
+            .collect();
+        self.introduced_at.extend(due.clone());
+        due.into_keys().collect()
+    }
+
+    /// Records the zone and the address of an entry that sends no regular heartbeats to this one.
+    ///
+    /// Returns whether the address is valid.
+    pub(crate) fn record_introduction(&mut self, heartbeat: &Heartbeat, now: Time) -> bool {
+        let Ok(address) = heartbeat.address.parse() else {
+            return false;
+        };
+        let entry = EntryId::from(&heartbeat.entry);
+        let zone = ZoneId::from(&heartbeat.zone);
+        if let Some(peer) = self.peers.get_mut(&entry) {
+            peer.address = Some(address);
+        }
+        self.unreachable.remove(&entry);
+        self.introduced.insert(entry, (zone, address, now));
+        true
+    }
+
     /// Records a heartbeat; `true` if it may change the leaving VMs.
     pub(crate) fn record_heartbeat(&mut self, heartbeat: Heartbeat, now: Time) -> bool {
         let entry = EntryId::from(&heartbeat.entry);
@@ -159,7 +209,10 @@
     }
 
     /// Records that an entry could not be reached.
+    ///
+    /// An introduction may have been lost, and is repeated after [`UNREACHABLE_TIMEOUT`].
     pub(crate) fn mark_unreachable(&mut self, entry: EntryId, now: Time) {
+        self.introduced_at.remove(&entry);
         self.unreachable.insert(entry, now);
     }
 
@@ -169,6 +222,8 @@
             .retain(|_, since| *since + UNREACHABLE_TIMEOUT > now);
         self.peers
             .retain(|_, peer| peer.last_heard + PEER_EXPIRY > now);
+        self.introduced
+            .retain(|_, (_, _, since)| *since + PEER_EXPIRY > now);
     }
 
     /// Records a ledger summary; `false` if one at least as new is known.
@@ -279,16 +334,20 @@
 
     /// Returns the zone and address of each entry.
     ///
-    /// Heartbeats take precedence over the registry, and the registry over the settings.
+    /// Heartbeats take precedence over introductions, these over the registry, and the registry
+    /// over the settings.
     fn addresses(&self) -> BTreeMap<&EntryId, (&ZoneId, SocketAddr)> {
         let reported = self
             .peers
             .iter()
             .filter_map(|(entry, peer)| Some((entry, (&peer.zone, peer.address?))));
+        let introduced = self.introduced.iter();
+        let introduced = introduced.map(|(entry, (zone, address, _))| (entry, (zone, *address)));
         self.configured
             .iter()
             .chain(&self.registry)
             .map(|(entry, (zone, address))| (entry, (zone, *address)))
+            .chain(introduced)
             .chain(reported)
             .collect()
     }
--- a/crates/daemon/tests/plane.rs
+++ b/crates/daemon/tests/plane.rs
@@ -342,6 +342,37 @@
     }
 }
 
+/// Guards against an entry that others do not know until they next list the registry, because it
+/// sends heartbeats to only two entries of each other zone: they drop their answers to it.
+#[test]
+fn newcomer_known() {
+    let cluster = Cluster::new(&["b", "b", "b", "b", "a"]);
+    cluster.edit("first");
+    let old: Vec<Node> = (0..4).map(|n| cluster.spawn(n)).collect();
+    within(IN_FORCE, "members", || {
+        let known = |node: &Node| node.status().members.len() + 1 == old.len();
+        old.iter().all(known)
+    });
+    let newcomer = cluster.spawn(4);
+    // Well before the next list, which follows ENTRY_LIST_INTERVAL after the last.
+    within(Duration::from_secs(3), "newcomer", || {
+        newcomer.status().members.len() == old.len()
+    });
+    for node in &old {
+        let ask = node.plane.dispatch_sender();
+        let borrow = FromDispatch::Borrow(newcomer.name(), "up".into(), 3);
+        ask.send(borrow).expect("borrow");
+    }
+    let mut received = 0;
+    within(Duration::from_secs(1), "messages", || {
+        let messages = newcomer.messages.drain();
+        received += messages
+            .filter(|message| matches!(message, ToDispatch::Borrow(..)))
+            .count();
+        received == old.len()
+    });
+}
+
 /// Guards against leaving VMs that are known only to the entry that reads the VM list.
 #[test]
 fn leaving_spread() {
