--- a/crates/cli/src/site.rs
+++ b/crates/cli/src/site.rs
@@ -3,7 +3,6 @@
 //! Every part but the entries is a stand-in; the sockets are real.
 
 use std::net::SocketAddr;
-use std::net::UdpSocket;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -24,6 +23,7 @@
 use wigeonhinge_standin::caller::Answer;
 use wigeonhinge_standin::caller::Balancer;
 use wigeonhinge_standin::platform::Platform;
+use wigeonhinge_standin::port::unused_address;
 use wigeonhinge_standin::upstream::Behaviour;
 use wigeonhinge_standin::upstream::Upstream;
 use wigeonhinge_standin::vms::State;
@@ -172,7 +172,7 @@
     pub fn replace(&mut self, index: usize) -> Result<()> {
         let mut raw = self.settings[index].raw.clone();
         raw.entry.push_str("-next");
-        raw.peer = free_port()?.to_string();
+        raw.peer = unused_address().to_string();
         let settings = Settings::check(raw)?;
         let entry = spawn(&settings)?;
         let (admin, address) = (entry.admin(), entry.address());
@@ -333,7 +333,7 @@
             zone: zone.to_owned(),
             listen: "127.0.0.1:0".to_owned(),
             admin: "127.0.0.1:0".to_owned(),
-            peer: free_port()?.to_string(),
+            peer: unused_address().to_string(),
             platform: platform.base(),
             threads: 1,
             drain_secs: DRAIN_SECS,
@@ -345,8 +345,3 @@
     }
     Ok(settings)
 }
-
-/// Returns a UDP address of loopback that is free now.
-fn free_port() -> Result<SocketAddr> {
-    Ok(UdpSocket::bind("127.0.0.1:0")?.local_addr()?)
-}
--- a/crates/daemon/tests/support/cluster.rs
+++ b/crates/daemon/tests/support/cluster.rs
@@ -5,7 +5,6 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
-use std::net::UdpSocket;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +21,7 @@
 use wigeonhinge_schema::settings::Peer;
 use wigeonhinge_schema::settings::Settings;
 use wigeonhinge_standin::platform::Platform;
+use wigeonhinge_standin::port::unused_address;
 use wigeonhinged::peer::fingerprint;
 use wigeonhinged::peer::generate_identity;
 use wigeonhinged::plane::Options;
@@ -61,7 +61,7 @@
                 entry: format!("entry-{n}"),
                 zone: (*zone).to_owned(),
                 admin: "127.0.0.1:0".to_owned(),
-                peer: free_address(),
+                peer: unused_address().to_string(),
                 platform: platform.base(),
                 identity: Some(identity),
                 trusted: trusted.clone(),
@@ -207,9 +207,3 @@
         address: settings.peer.clone(),
     }
 }
-
-/// Returns a loopback address with a UDP port that was free a moment ago.
-fn free_address() -> String {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("socket");
-    socket.local_addr().expect("address").to_string()
-}
--- a/crates/daemon/tests/support/entry.rs
+++ b/crates/daemon/tests/support/entry.rs
@@ -5,20 +5,18 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
-use std::ops::Range;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use wigeonhinge_standin::port::unused_address;
+
 /// Longest wait for an expected state.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -50,27 +48,6 @@
         .expect("the daemon starts")
 }
 
-/// Ports below the range that the kernel uses for outgoing connections. A port of that range
-/// could be taken between its selection and the start of the entry.
-const PORTS: Range<u32> = 12_000..32_000;
-
-/// Returns an address that no process listens on.
-fn unused_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let size = PORTS.end - PORTS.start;
-    loop {
-        // Concurrent test processes start at different ports.
-        let offset = std::process::id()
-            .wrapping_mul(997)
-            .wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = PORTS.start + offset % size;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 impl Entry {
     /// Starts an entry that uses the platform store at an address.
     pub fn spawn(store: SocketAddr, name: &str) -> Self {
