--- a/crates/daemon/src/plane/gossip.rs
+++ b/crates/daemon/src/plane/gossip.rs
@@ -111,8 +111,8 @@
 
     /// Returns the registered entries that this one has to introduce itself to.
     ///
-    /// These get no heartbeats and got no introduction at their address yet. Until they list the registry
-    /// themselves they do not know this entry and drop their answers to it.
+    /// These get no heartbeats and got no introduction at their address yet. Until they list the
+    /// registry themselves they do not know this entry and drop their answers to it.
     pub(crate) fn due_introductions(&mut self) -> Vec<EntryId> {
         let registry = &self.registry;
         self.introduced_at.retain(|entry, known| {
