peer: bound the introductions that are kept, and name both directions

An entry that introduces itself under ever new names could fill the memory of its peers. Log lines say why an introduction is ignored, and how large a message without a receiver's address was. A failed list of the entries is no longer followed by two.

--- a/crates/daemon/src/plane/core/messages.rs
+++ b/crates/daemon/src/plane/core/messages.rs
@@ -81,10 +81,10 @@
     fn handle_heartbeat(&mut self, entry: EntryId, heartbeat: Heartbeat, now: Time) {
         if heartbeat.introduction {
             if entry != self.control.own().entry
-                && !self.gossip.record_introduction(&heartbeat, now)
+                && let Err(reason) = self.gossip.record_introduction(&heartbeat, now)
             {
-                warn!(self.log, "peer: ignored an introduction without a usable address";
-                    "entry" => %entry, "address" => heartbeat.address);
+                warn!(self.log, "peer: introduction ignored"; "entry" => %entry,
+                    "address" => heartbeat.address, "reason" => reason);
             }
             return;
         }
@@ -194,8 +194,8 @@
         }
         match self.gossip.address(entry) {
             Some(address) => self.peers.send(entry, address, message),
-            None => debug!(self.log, "peer: no address is known; message dropped";
-                "entry" => %entry),
+            None => debug!(self.log, "peer: message dropped, no address of its receiver is known";
+                "entry" => %entry, "bytes" => message.len()),
         }
     }
 
--- a/crates/daemon/src/plane/gossip.rs
+++ b/crates/daemon/src/plane/gossip.rs
@@ -24,7 +24,10 @@
 /// Entries of each other zone that receive a heartbeat.
 const TARGETS_PER_ZONE: usize = 2;
 
-/// Time for which an unreachable entry is the last choice as a target.
+/// Time for which an unreachable entry is the last choice as a target and gets no introduction.
+///
+/// An entry that is cut off from many others tries to reach them no more often, which keeps its
+/// handshakes within the budget of 16 KB/s.
 const UNREACHABLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Silence after which the reported state of a peer, including its address, is dropped.
@@ -33,6 +36,12 @@
 /// names an entry by the time its introduction is dropped.
 const PEER_EXPIRY: Duration = Duration::from_secs(10);
 
+/// Maximum number of introductions that are kept; further ones are refused until some expire.
+///
+/// The largest sweep has 300 entries. An entry that introduces itself under ever new names must not
+/// take up the 256 MB of a process.
+const MAX_INTRODUCTIONS: usize = 1_024;
+
 /// Addresses of entries, leaving VMs, ledger summaries and the last heartbeat of each peer.
 #[derive(Debug)]
 pub(crate) struct Gossip {
@@ -41,9 +50,9 @@
     configured: BTreeMap<EntryId, (ZoneId, SocketAddr)>,
     registry: BTreeMap<EntryId, (ZoneId, SocketAddr)>,
     /// Entries that introduced themselves, and when.
-    introduced: BTreeMap<EntryId, (ZoneId, SocketAddr, Time)>,
+    introductions_received: BTreeMap<EntryId, (ZoneId, SocketAddr, Time)>,
     /// Registered addresses that this entry introduced itself at.
-    introduced_at: BTreeMap<EntryId, SocketAddr>,
+    introductions_sent: BTreeMap<EntryId, SocketAddr>,
     peers: BTreeMap<EntryId, Peer>,
     unreachable: BTreeMap<EntryId, Time>,
     /// Time of the newest VM list in milliseconds, and the VMs in it that are not live.
@@ -73,8 +82,8 @@
             zone,
             configured: BTreeMap::new(),
             registry: BTreeMap::new(),
-            introduced: BTreeMap::new(),
-            introduced_at: BTreeMap::new(),
+            introductions_received: BTreeMap::new(),
+            introductions_sent: BTreeMap::new(),
             peers: BTreeMap::new(),
             unreachable: BTreeMap::new(),
             vm_list: (0, BTreeSet::new()),
@@ -115,7 +124,7 @@
     /// registry themselves they do not know this entry and drop their answers to it.
     pub(crate) fn due_introductions(&mut self) -> Vec<EntryId> {
         let registry = &self.registry;
-        self.introduced_at.retain(|entry, known| {
+        self.introductions_sent.retain(|entry, known| {
             registry
                 .get(entry)
                 .is_some_and(|(_, address)| address == known)
@@ -126,28 +135,38 @@
             .iter()
             .filter(|(entry, _)| !targets.contains_key(*entry))
             .filter(|(entry, _)| !self.unreachable.contains_key(*entry))
-            .filter(|(entry, _)| !self.introduced_at.contains_key(*entry))
+            .filter(|(entry, _)| !self.introductions_sent.contains_key(*entry))
             .map(|(entry, (_, address))| (entry.clone(), *address))
             .collect();
-        self.introduced_at.extend(due.clone());
+        self.introductions_sent.extend(due.clone());
         due.into_keys().collect()
     }
 
     /// Records the zone and the address of an entry that sends no regular heartbeats to this one.
     ///
-    /// Returns whether the address is valid.
-    pub(crate) fn record_introduction(&mut self, heartbeat: &Heartbeat, now: Time) -> bool {
-        let Ok(address) = heartbeat.address.parse() else {
-            return false;
-        };
+    /// # Errors
+    ///
+    /// Fails with the reason if the address is invalid or [`MAX_INTRODUCTIONS`] are kept already.
+    pub(crate) fn record_introduction(
+        &mut self,
+        heartbeat: &Heartbeat,
+        now: Time,
+    ) -> Result<(), &'static str> {
+        let address = heartbeat.address.parse();
+        let address = address.map_err(|_| "the address is not of the form IP:port")?;
         let entry = EntryId::from(&heartbeat.entry);
+        let known = self.introductions_received.contains_key(&entry);
+        if !known && self.introductions_received.len() >= MAX_INTRODUCTIONS {
+            return Err("too many entries introduced themselves");
+        }
         let zone = ZoneId::from(&heartbeat.zone);
         if let Some(peer) = self.peers.get_mut(&entry) {
             peer.address = Some(address);
         }
         self.unreachable.remove(&entry);
-        self.introduced.insert(entry, (zone, address, now));
-        true
+        self.introductions_received
+            .insert(entry, (zone, address, now));
+        Ok(())
     }
 
     /// Records a heartbeat; `true` if it may change the leaving VMs.
@@ -212,7 +231,7 @@
     ///
     /// An introduction may have been lost, and is repeated after [`UNREACHABLE_TIMEOUT`].
     pub(crate) fn mark_unreachable(&mut self, entry: EntryId, now: Time) {
-        self.introduced_at.remove(&entry);
+        self.introductions_sent.remove(&entry);
         self.unreachable.insert(entry, now);
     }
 
@@ -222,7 +241,7 @@
             .retain(|_, since| *since + UNREACHABLE_TIMEOUT > now);
         self.peers
             .retain(|_, peer| peer.last_heard + PEER_EXPIRY > now);
-        self.introduced
+        self.introductions_received
             .retain(|_, (_, _, since)| *since + PEER_EXPIRY > now);
     }
 
@@ -341,7 +360,7 @@
             .peers
             .iter()
             .filter_map(|(entry, peer)| Some((entry, (&peer.zone, peer.address?))));
-        let introduced = self.introduced.iter();
+        let introduced = self.introductions_received.iter();
         let introduced = introduced.map(|(entry, (zone, address, _))| (entry, (zone, *address)));
         self.configured
             .iter()
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -293,6 +293,8 @@
             self.interval(&call)
         };
         self.next_call.insert(slot, now + delay);
+        let list_again =
+            call == Call::ListEntries && std::mem::take(&mut self.list_precedes_registration);
         let mut effects = Effects::default();
         match (call, answer) {
             (Call::Grant, Answer::Granted(lease)) => {
@@ -307,7 +309,7 @@
                 self.update_roles(&items, now, &mut effects)
             }
             (Call::ListEntries, Answer::Listed(items)) => {
-                if std::mem::take(&mut self.list_precedes_registration) {
+                if list_again {
                     self.next_call.insert(CallSlot::Entries, now);
                 }
                 self.update_entries(&items, now, &mut effects)
--- a/crates/standin/src/port.rs
+++ b/crates/standin/src/port.rs
@@ -18,10 +18,14 @@
 /// Returns a loopback address whose TCP and UDP ports no socket is bound to.
 ///
 /// Each call of a process returns another address, until all ports were tried.
+///
+/// # Panics
+///
+/// Panics if every port of the range is in use.
 pub fn unused_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let size = PORTS.end - PORTS.start;
-    loop {
+    for _ in PORTS {
         let offset = std::process::id()
             .wrapping_mul(PROCESS_STRIDE)
             .wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
@@ -31,4 +35,5 @@
             return address;
         }
     }
+    panic!("every port of {PORTS:?} is in use");
 }
