Bound each write of a holder by what a transaction may hold

Cause: start_write took up to 28 rows and 8 removals, or 28 rows and 16 expired states, beside the chain key, up to 46 entries; the store refuses more than 32. A partition has one write in flight and repeats it until it succeeds, so the refused write held up all later ones.

Fix: everything that is added to a write is limited by the entries that are left, and a constant assertion keeps room for one job in each write.

--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -60,15 +60,9 @@
 /// Most messages that are handled before the next write is started.
 const MAX_BURST: usize = 128;
 
-/// Most ended jobs whose states one write removes; the limit leaves room for other entries.
+/// Most ended jobs whose states one write removes.
 const MAX_EXPIRED: usize = 16;
 
-/// Most keys of cancellations without effect that one write removes.
-const MAX_REMOVES: usize = 8;
-
-/// Most rows other than those of jobs in one write.
-const MAX_EXTRA_ROWS: usize = 28;
-
 /// Longest time for which a holder that stops waits for its last write.
 const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -520,22 +514,23 @@
         // Orders are sent once the write with their record is stored.
         let orders = keys::orders(self.term.partition);
         self.extra_rows.sort_by_key(|(key, _)| *key != orders);
-        let extra = self.extra_rows.len().min(MAX_EXTRA_ROWS);
-        let removes = self.removes.len().min(MAX_REMOVES);
+        let extra = self.extra_rows.len().min(writer::MAX_EXTRA_ROWS);
+        let removes = self.removes.len().min(writer::MAX_REMOVES);
         let mut content = WriteContent {
             extra_rows: self.extra_rows.drain(..extra).collect(),
             orders: std::mem::take(&mut self.pending_orders),
             removes: self.removes.drain(..removes).collect(),
             ..WriteContent::default()
         };
-        while content.has_room() {
+        while content.has_job_room() {
             match self.batch.take_write() {
                 Some(write) => content.writes.push(write),
                 None => break,
             }
         }
         if content.writes.is_empty() && content.removes.is_empty() {
-            content.expired = self.batch.take_expired(MAX_EXPIRED, clock::now());
+            let limit = content.room().min(MAX_EXPIRED);
+            content.expired = self.batch.take_expired(limit, clock::now());
         }
         if content.is_empty() {
             return;
--- a/crates/daemon/src/site/writer.rs
+++ b/crates/daemon/src/site/writer.rs
@@ -36,6 +36,16 @@
 /// Most entries that one job needs: its last write stores the state and removes the other keys.
 const MAX_JOB_ENTRIES: usize = 4;
 
+/// Most rows other than those of jobs in one write.
+pub(super) const MAX_EXTRA_ROWS: usize = 18;
+
+/// Most keys of cancellations without effect that one write removes.
+pub(super) const MAX_REMOVES: usize = 8;
+
+// Each write has room for a job, so that no amount of other rows holds up the jobs.
+const _: () =
+    assert!(CHAIN_ENTRIES + MAX_EXTRA_ROWS + MAX_REMOVES + MAX_JOB_ENTRIES <= MAX_COMMIT_ENTRIES);
+
 /// Executes a write, retrying it until its outcome is known, and reports the outcome to the role.
 pub(super) async fn write(
     shared: Rc<Shared>,
@@ -91,12 +101,17 @@
 }
 
 impl WriteContent {
-    /// Returns whether the rows of one more job are sure to fit.
-    pub(super) fn has_room(&self) -> bool {
+    /// Returns how many more entries fit into the transaction.
+    pub(super) fn room(&self) -> usize {
         let jobs: usize = self.writes.iter().map(entry_count).sum();
         let removes = self.expired.len() + self.removes.len();
         let used = CHAIN_ENTRIES + self.extra_rows.len() + removes + jobs;
-        used + MAX_JOB_ENTRIES <= MAX_COMMIT_ENTRIES
+        MAX_COMMIT_ENTRIES.saturating_sub(used)
+    }
+
+    /// Returns whether the rows of one more job are sure to fit.
+    pub(super) fn has_job_room(&self) -> bool {
+        self.room() >= MAX_JOB_ENTRIES
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/daemon/tests/support/entry.rs
+++ b/crates/daemon/tests/support/entry.rs
@@ -56,12 +56,17 @@
 
     /// Like [`Entry::spawn`], with more settings.
     pub fn spawn_with(store: SocketAddr, name: &str, more: &str) -> Self {
+        Self::spawn_retaining(store, name, more, 120.0)
+    }
+
+    /// Like [`Entry::spawn_with`], with the retention time of ended jobs in seconds.
+    pub fn spawn_retaining(store: SocketAddr, name: &str, more: &str, retention: f64) -> Self {
         let (callers, readiness, metrics) = (unused_address(), unused_address(), unused_address());
         let text = format!(
             r#"// Settings of a test.
             {{ "entry": "{name}", "zone": "a", "callers": "{callers}", "readiness": "{readiness}",
               "metrics": "{metrics}", "store": "{}", {more} "bounds": {{ "lease_ms": 10000,
-              "retention_secs": 120, "migrate_secs": 1.5, "maintenance_secs": 2,
+              "retention_secs": {retention}, "migrate_secs": 1.5, "maintenance_secs": 2,
               "order_lease_ms": 3000, "notice_ms": 4500, "shortest_lease_ms": 1000, }}, }}"#,
             store
         );
