Give each incarnation of a worker a fence of its own

Cause: both incarnations share the identifier and accept the fence of the holder's term, so the next one carries out starts that were meant for the former one. The holder took such runs as lost as soon as a poll showed another incarnation, or with the lease of the former one, and started them elsewhere. An answer of the next incarnation to a start counted as one of the former.

Fix: when a poll shows another incarnation, the holder raises the fence of the worker to the revision of its last write and polls again; only that list reaches the scheduler. The revision is above all fences used before, and below that of a successor, whose claim changes the chain key. From then on the worker refuses what was meant for its former incarnation. A start whose answer shows a clock behind the known one counts as unanswered, and a run whose start had no answer outlives the lease of a silent worker for 3 s and the longest lease.

--- a/crates/daemon/src/site/election.rs
+++ b/crates/daemon/src/site/election.rs
@@ -55,8 +55,9 @@
     pub(super) partition: Partition,
     pub(super) fence: Fence,
     pub(super) lease: LeaseId,
-    /// Current revision of the partition's chain key.
-    pub(super) revision: Revision,
+    /// Current revision of the partition's chain key. It is above the fences of all calls to workers so
+    /// far, and below the fence of any successor, whose claim changes the chain key as well.
+    pub(super) revision: Rc<Cell<Revision>>,
     /// Identifier of the term, which distinguishes its writes from those of other terms.
     pub(super) session: String,
     /// Contact to the store and the workers, which the renewals and the role update.
@@ -154,7 +155,7 @@
         partition,
         fence: 0,
         lease,
-        revision: 0,
+        revision: Rc::new(Cell::new(0)),
         session,
         contact: Rc::new(Cell::new(Contact::new(started_at))),
     };
@@ -175,7 +176,7 @@
     match shared.store.commit(&commit, CALL_TIMEOUT).await? {
         Outcome::Done(revision) => {
             term.fence = revision;
-            term.revision = revision;
+            term.revision.set(revision);
             info!(shared.log, "role: taken"; "partition" => partition, "fence" => revision,
                 "lease" => lease);
             Ok(Some(term))
--- a/crates/daemon/src/site/message.rs
+++ b/crates/daemon/src/site/message.rs
@@ -51,6 +51,8 @@
     Machines(Vec<Machine>),
     /// An event for the scheduler.
     Event(Event),
+    /// A fence above that of the role's last write is needed.
+    FenceNeeded,
     /// A write was executed; the chain key now has this revision.
     Written(WriteContent, Revision),
     /// The role is lost, for this reason.
--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -283,9 +283,12 @@
             Message::WaveProgress(items) => self.complete_waves(items),
             Message::Machines(list) => self.update_machines(list),
             Message::Event(event) => self.handle_event(event),
+            // A write in flight gives one too.
+            Message::FenceNeeded if self.write_in_flight => {}
+            Message::FenceNeeded => self.publish_load(),
             Message::Written(content, revision) => {
                 self.write_in_flight = false;
-                self.term.revision = revision;
+                self.term.revision.set(revision);
                 let writes = content.writes;
                 self.load_stats.writes += 1;
                 self.load_stats.rows += writes.len();
--- a/crates/daemon/src/site/role/registry.rs
+++ b/crates/daemon/src/site/role/registry.rs
@@ -1,7 +1,5 @@
 //! Workers in the platform's registry, and the connections to them.
 
-use std::rc::Rc;
-
 use slog::info;
 use wigeonhinge::batch::Event;
 use wigeonhinge::batch::WorkerEntry;
@@ -93,10 +91,10 @@
         if known.is_some() && known == entry.address {
             return;
         }
-        let contact = Rc::clone(&self.term.contact);
         let (log, metrics) = (self.shared.log.clone(), self.shared.metrics.clone());
         let channels = (log, metrics, self.inbox.clone());
-        let handle = worker::spawn(entry, self.rack_fence(&entry.rack), contact, channels);
+        let fence = self.rack_fence(&entry.rack);
+        let handle = worker::spawn(entry, fence, &self.term, channels);
         if let Some(handle) = handle {
             self.record_lease(&entry.id);
             self.workers.insert(entry.id.clone(), handle);
--- a/crates/daemon/src/site/worker.rs
+++ b/crates/daemon/src/site/worker.rs
@@ -23,14 +23,18 @@
 use wigeonhinge::batch::StartReply;
 use wigeonhinge::batch::TaskId;
 use wigeonhinge::batch::WorkerEntry;
+use wigeonhinge::batch::WorkerId;
 use wigeonhinge::id::Fence;
+use wigeonhinge::id::Revision;
 use wigeonhinge_platform::http::Connection;
 use wigeonhinge_platform::worker;
 use wigeonhinge_platform::worker::Refusal;
 use wigeonhinge_platform::worker::Start;
+use wigeonhinge_platform::worker::StartAnswer;
 use wigeonhinge_platform::worker::Target;
 
 use crate::site::clock;
+use crate::site::election::Term;
 use crate::site::message::Message;
 use crate::site::metrics::Metrics;
 
@@ -50,6 +54,9 @@
 /// First and longest pause after a failed poll; the pause doubles with each failure.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 
+/// Time between two checks whether the store gave a new fence.
+const FENCE_CHECK: Duration = Duration::from_millis(5);
+
 /// Time in the queue from which the sending of a start or stop is logged; shorter waits are frequent
 /// and follow from the log line of the decision.
 const LOGGED_WAIT: Duration = Duration::from_millis(200);
@@ -65,37 +72,44 @@
 /// State that the polling and the sending task share.
 #[derive(Debug)]
 struct Inner {
-    target: Target,
+    worker: WorkerId,
+    /// Fence of all calls, which rises with each incarnation of the worker.
+    fence: Cell<Fence>,
+    /// Revision of the role's last write.
+    revision: Rc<Cell<Revision>>,
     log: Logger,
     metrics: Metrics,
     inbox: Sender<Message>,
     grant: RefCell<Grant>,
     outbox: RefCell<Outbox>,
     outbox_changed: event_listener::Event,
-    /// Incarnation that answered the last poll, as the time at which it began; 0 if unknown.
+    /// Incarnation whose lists were reported last, as the time at which it began; 0 if unknown.
     incarnation: Cell<u64>,
     /// Highest number of an end that the store holds; polls acknowledge it to the worker.
     acknowledged: Cell<u64>,
     acknowledged_changed: event_listener::Event,
     /// Contact of the role holder, which lets it extend leases.
     contact: Rc<Cell<Contact>>,
-    /// Whether the last poll failed.
+    /// Whether the last poll failed, or was answered by an incarnation that may still carry out calls
+    /// that were meant for an earlier one.
     unresponsive: Cell<bool>,
 }
 
 /// Starts the tasks for a worker; returns `None` if its address is unknown.
+///
+/// `rack_fence` is the lowest fence that is valid for the worker's rack.
 pub(super) fn spawn(
     entry: &WorkerEntry,
-    fence: Fence,
-    contact: Rc<Cell<Contact>>,
+    rack_fence: Fence,
+    term: &Term,
     (log, metrics, inbox): (Logger, Metrics, Sender<Message>),
 ) -> Option<Handle> {
     let address = entry.address?;
     let inner = Rc::new(Inner {
-        target: Target {
-            worker: entry.id.clone(),
-            fence,
-        },
+        worker: entry.id.clone(),
+        // An earlier connection of this term may have raised the worker's fence.
+        fence: Cell::new(rack_fence.max(term.revision.get())),
+        revision: Rc::clone(&term.revision),
         log,
         metrics,
         inbox,
@@ -105,7 +119,7 @@
         incarnation: Cell::new(0),
         acknowledged: Cell::new(0),
         acknowledged_changed: event_listener::Event::new(),
-        contact,
+        contact: Rc::clone(&term.contact),
         unresponsive: Cell::new(false),
     });
     let tasks = [
@@ -171,8 +185,29 @@
         let _ = self.inbox.send(Message::Event(event));
     }
 
+    /// Returns the target of the next call.
+    fn target(&self) -> Target {
+        Target {
+            worker: self.worker.clone(),
+            fence: self.fence.get(),
+        }
+    }
+
+    /// Raises the fence above that of all calls so far, once the store has given one.
+    async fn raise_fence(&self) {
+        let before = self.fence.get();
+        if self.revision.get() <= before {
+            // The receiver is gone only if the role has been given up.
+            let _ = self.inbox.send(Message::FenceNeeded);
+        }
+        while self.revision.get() <= before {
+            compio::time::sleep(FENCE_CHECK).await;
+        }
+        self.fence.set(self.revision.get());
+    }
+
     fn report_start(&self, task: TaskId, run: Run, reply: StartReply) {
-        let worker = self.target.worker.clone();
+        let worker = self.worker.clone();
         self.send_event(Event::StartAnswered(worker, task, run, reply));
     }
 
@@ -187,7 +222,7 @@
         let mut contact = self.contact.get();
         contact.end();
         self.contact.set(contact);
-        let reason = format!("worker {} has a higher fence", self.target.worker);
+        let reason = format!("worker {} has a higher fence", self.worker);
         let _ = self.inbox.send(Message::Lost(reason));
     }
 
@@ -233,7 +268,7 @@
         };
         if waited > LOGGED_WAIT {
             info!(self.log, "worker: sending an order that waited";
-                "worker" => %self.target.worker, "order" => kind, "task" => %task, "run" => run,
+                "worker" => %self.worker, "order" => kind, "task" => %task, "run" => run,
                 "waited_ms" => waited.as_millis() as u64);
         }
     }
@@ -242,7 +277,32 @@
     /// and so its lease start anew.
     fn start_incarnation(&self) {
         self.acknowledged.set(0);
-        self.grant.borrow_mut().restart();
+        self.grant.borrow_mut().restart(clock::now());
+    }
+
+    /// Returns the reply to a start that was sent when the worker's clock showed at least `earliest`, or
+    /// that it is unknown if the worker's next incarnation gave it: that one keeps the run under a lease
+    /// of its own clock, and may be cut off before its first report.
+    fn check_clock(&self, answer: StartAnswer, earliest: Option<u64>) -> StartReply {
+        match (answer.clock_ms, earliest) {
+            (Some(clock), Some(earliest)) if clock < earliest => {
+                self.unresponsive.set(true);
+                info!(self.log, "worker: its clock starts anew, its next incarnation answers a start";
+                    "worker" => %self.worker, "clock_ms" => clock, "reply" => ?answer.reply);
+            }
+            _ => return answer.reply,
+        }
+        match answer.reply {
+            StartReply::Started => StartReply::Unknown,
+            reply => reply,
+        }
+    }
+
+    /// Returns whether a report is that of an incarnation of which none was reported yet, and which is
+    /// not the first one.
+    fn is_newcomer(&self, report: &Report) -> bool {
+        let (known, born) = (self.incarnation.get(), report.incarnation);
+        known != 0 && born != 0 && known != born
     }
 
     fn settle(&self, task: &TaskId, run: Run) {
@@ -267,6 +327,8 @@
     let mut last_received = 0;
     let mut replaced = false;
     let mut list_is_cut = false;
+    // Incarnation that answered before the fence was raised for it.
+    let mut newcomer = 0;
     loop {
         if inner.acknowledged.get() < last_received {
             let listener = inner.acknowledged_changed.listen();
@@ -276,9 +338,9 @@
             }
         }
         // The worker responds at once anyway while it has ends that are not acknowledged.
-        let wait = match inner.acknowledged.get() < last_received
-            || inner.grant.borrow().expiry_ms().is_none()
-        {
+        let answered_at_once =
+            inner.acknowledged.get() < last_received || inner.grant.borrow().expiry_ms().is_none();
+        let wait = match answered_at_once || newcomer != 0 {
             true => Duration::ZERO,
             false => POLL_WAIT,
         };
@@ -291,31 +353,41 @@
             true => 0,
             false => inner.acknowledged.get(),
         };
+        let target = inner.target();
         let poll = worker::poll(
             &mut connection,
-            &inner.target,
+            &target,
             (acknowledged, until),
             (wait, timeout),
         );
         match poll.await {
+            Ok(status)
+                if inner.is_newcomer(&status.report) && status.report.incarnation != newcomer =>
+            {
+                newcomer = status.report.incarnation;
+                inner.unresponsive.set(true);
+                inner.raise_fence().await;
+                info!(inner.log, "worker: started again under its identifier";
+                    "worker" => %inner.worker, "born" => newcomer, "fence" => inner.fence.get());
+            }
             Ok(mut status) => {
                 if inner.unresponsive.replace(false) {
                     info!(inner.log, "worker: responds to polls again";
-                        "worker" => %inner.target.worker);
+                        "worker" => %inner.worker);
                 }
                 retry_pause = RETRY_PAUSE.0;
                 timeout = CALL_TIMEOUT;
                 if status.unreadable > 0 {
                     warn!(inner.log, "worker: rows of its lists cannot be decoded, ignoring them";
-                        "worker" => %inner.target.worker, "rows" => status.unreadable);
+                        "worker" => %inner.worker, "rows" => status.unreadable);
+                }
+                if inner.is_newcomer(&status.report) {
+                    inner.start_incarnation();
+                    last_received = 0;
+                    newcomer = 0;
                 }
-                let born = status.report.incarnation;
-                if born != 0 {
-                    let before = inner.incarnation.replace(born);
-                    if before != 0 && before != born {
-                        inner.start_incarnation();
-                        last_received = 0;
-                    }
+                if status.report.incarnation != 0 {
+                    inner.incarnation.set(status.report.incarnation);
                 }
                 let mut grant = inner.grant.borrow_mut();
                 grant.record_clock(status.clock_ms, clock::now());
@@ -329,25 +401,25 @@
                         true => "worker: lists a part of its ended runs, none counts as lost",
                         false => "worker: lists all of its ended runs again",
                     };
-                    info!(inner.log, "{}", message; "worker" => %inner.target.worker,
+                    info!(inner.log, "{}", message; "worker" => %inner.worker,
                         "listed" => status.report.finished.len(), "acknowledged" => acknowledged);
                 }
                 inner.settle_listed(&status.report);
                 status.report.requested_at = polled_at;
                 status.report.answered_by = answered_by;
-                let event = Event::Report(inner.target.worker.clone(), status.report);
+                let event = Event::Report(inner.worker.clone(), status.report);
                 inner.send_event(event);
             }
             Err(Refusal::Fenced) => return inner.report_fenced(),
             Err(refusal) => {
                 if !inner.unresponsive.replace(true) {
                     warn!(inner.log, "worker: does not answer";
-                        "worker" => %inner.target.worker, "reason" => ?refusal);
+                        "worker" => %inner.worker, "reason" => ?refusal);
                 }
                 if refusal == Refusal::OtherInstance && !std::mem::replace(&mut replaced, true) {
                     info!(inner.log, "worker: another instance answers at its address";
-                        "worker" => %inner.target.worker);
-                    inner.send_event(Event::WorkerGone(inner.target.worker.clone()));
+                        "worker" => %inner.worker);
+                    inner.send_event(Event::WorkerGone(inner.worker.clone()));
                 }
                 compio::time::sleep(retry_pause).await;
                 retry_pause = (retry_pause * 2).min(RETRY_PAUSE.1);
@@ -362,9 +434,9 @@
 async fn stop_unresolved_starts(inner: &Inner, connection: &mut Connection) {
     let unresolved = inner.grant.borrow().starts_to_stop(clock::now());
     for (task, run) in unresolved {
-        let stop = worker::stop(connection, &inner.target, (&task, run), CALL_TIMEOUT).await;
+        let stop = worker::stop(connection, &inner.target(), (&task, run), CALL_TIMEOUT).await;
         info!(inner.log, "worker: ordered the stop of a run whose start had no response";
-            "worker" => %inner.target.worker, "task" => %task, "run" => run,
+            "worker" => %inner.worker, "task" => %task, "run" => run,
             "answer" => ?stop);
         match stop {
             Ok(()) => inner.settle(&task, run),
@@ -376,7 +448,7 @@
 /// Sends the queued orders to the worker, one at a time.
 async fn send_orders(inner: Rc<Inner>, address: SocketAddr) {
     let mut connection = Connection::new(address);
-    let id = inner.target.worker.clone();
+    let id = inner.worker.clone();
     loop {
         let (ordered, order) = inner.next_order().await;
         inner.record_wait(ordered, &order);
@@ -405,10 +477,13 @@
                     checkpoint,
                     until_ms: inner.extend_lease().unwrap_or(0),
                 };
-                let reply =
-                    worker::start(&mut connection, &inner.target, &start, CALL_TIMEOUT).await;
-                let reply = match reply {
-                    Ok(reply) => reply,
+                let target = inner.target();
+                let earliest = inner.grant.borrow().earliest_clock(clock::now());
+                let answer = worker::start(&mut connection, &target, &start, CALL_TIMEOUT).await;
+                let reply = match answer {
+                    Ok(answer) => inner.check_clock(answer, earliest),
+                    // The worker's next incarnation refuses starts that were meant for this one.
+                    Err(Refusal::Fenced) if target.fence < inner.fence.get() => StartReply::Refused,
                     Err(Refusal::Fenced) => return inner.report_fenced(),
                     Err(_) => StartReply::Unknown,
                 };
@@ -419,7 +494,8 @@
             }
             Order::Stop(task, run) => {
                 let stop =
-                    worker::stop(&mut connection, &inner.target, (&task, run), CALL_TIMEOUT).await;
+                    worker::stop(&mut connection, &inner.target(), (&task, run), CALL_TIMEOUT)
+                        .await;
                 if stop.is_ok() {
                     inner.settle(&task, run);
                 }
@@ -431,7 +507,8 @@
             }
             Order::Pace(task, run, percent) => {
                 let order = (&task, run, percent);
-                let pace = worker::pace(&mut connection, &inner.target, order, CALL_TIMEOUT).await;
+                let pace =
+                    worker::pace(&mut connection, &inner.target(), order, CALL_TIMEOUT).await;
                 if let Err(refusal) = &pace {
                     warn!(inner.log, "worker: a pace failed or had no response"; "worker" => %id,
                         "task" => %task, "reason" => ?refusal);
--- a/crates/daemon/src/site/writer.rs
+++ b/crates/daemon/src/site/writer.rs
@@ -148,7 +148,7 @@
     let partition = term.partition;
     let chain = keys::chain(partition);
     let mut commit = Commit {
-        expect: vec![(chain.clone(), term.revision)],
+        expect: vec![(chain.clone(), term.revision.get())],
         writes: vec![(chain, term.chain_value(number), 0)],
         removes: content.removes.clone(),
     };
--- a/crates/daemon/tests/restarted_worker.rs
+++ b/crates/daemon/tests/restarted_worker.rs
@@ -81,3 +81,28 @@
     let lease = site.workers[0].lease();
     assert!(lease < Duration::from_secs(4), "{lease:?}");
 }
+
+/// Guards against calls to a worker's earlier incarnations that are carried out after the next one
+/// was polled: each incarnation sees a fence above those of the calls before.
+#[test]
+fn restart_raises_fence() {
+    let site = Site::spawn(3);
+    let entry = Entry::spawn(site.store, "e1");
+    entry.wait_ready();
+    wait("the worker is polled", || site.workers[0].fence() > 0);
+    let mut before = site.workers[0].fence();
+    for _ in 0..3 {
+        // Time for an answered poll, which tells the incarnation.
+        thread::sleep(Duration::from_millis(800));
+        site.workers[0].restart();
+        wait("the fence is raised", || site.workers[0].fence() > before);
+        before = site.workers[0].fence();
+    }
+    assert_eq!(site.workers[1].fence(), site.workers[2].fence());
+    let id = "00000000000000c3";
+    site.oracle.submitted(id, "t", &[TASKS as u64; STEPS]);
+    let response = entry.ask("POST", &format!("/jobs/{id}"), &job());
+    assert_eq!(response.expect("a response").0, 200);
+    entry.wait_state(id, "completed");
+    assert_eq!(site.oracle.violations(), Vec::<String>::new());
+}
--- a/crates/wigeonhinge/src/batch/grant.rs
+++ b/crates/wigeonhinge/src/batch/grant.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::batch::MAX_CLOCK_DRIFT;
 use crate::batch::Run;
 use crate::batch::TaskId;
 use crate::batch::WORKER_LEASE;
@@ -32,7 +33,7 @@
     expiry_ms: u64,
     /// Local time after which the lease has expired for certain.
     local_expiry: Option<Time>,
-    /// When a new lease last began after an expired one.
+    /// When a new lease last began after an expired one, or the worker's incarnation.
     renewed_at: Time,
     /// Starts whose outcome is unknown.
     unsettled: BTreeSet<(TaskId, Run)>,
@@ -44,14 +45,21 @@
         self.clock = Some((millis, now));
     }
 
-    /// Forgets the lease and the clock of the worker's earlier incarnation.
-    ///
-    /// A delayed start may reach the new one as well, so no lease begins until each has been
-    /// stopped, and no start that was requested before is sent.
-    pub fn restart(&mut self) {
-        self.clock = None;
-        self.expiry_ms = 0;
-        self.local_expiry = Some(Time::ZERO);
+    /// Returns what the worker's clock shows at least when it receives a call that is sent now, or
+    /// `None` if the clock is unknown. A clock that shows less is that of another incarnation.
+    pub fn earliest_clock(&self, now: Time) -> Option<u64> {
+        let (millis, read) = self.clock?;
+        let passed = now.saturating_sub(read).mul_f64(1.0 - MAX_CLOCK_DRIFT);
+        Some(millis + passed.as_millis() as u64)
+    }
+
+    /// Begins the lease of the worker's next incarnation, which refuses all calls that were meant for
+    /// earlier ones. No start that was requested before is sent.
+    pub fn restart(&mut self, now: Time) {
+        *self = Self {
+            renewed_at: now,
+            ..Self::default()
+        };
     }
 
     /// Returns the expiry of the lease on the worker's clock in milliseconds, or `None` if the
--- a/crates/wigeonhinge/src/batch/runs.rs
+++ b/crates/wigeonhinge/src/batch/runs.rs
@@ -16,6 +16,7 @@
 use crate::batch::worker::Stage;
 use crate::batch::worker::StopReason;
 use crate::batch::worker::Worker;
+use crate::batch::worker::restarted_lease;
 use crate::id::JobId;
 use crate::id::Time;
 
@@ -357,6 +358,7 @@
             }
             if now >= worker.lease_end {
                 let runs = worker.runs.iter();
+                let runs = runs.filter(|(_, run)| !self.may_still_begin(run, now));
                 lost.extend(runs.map(|(task, run)| (id.clone(), task.clone(), run.run)));
                 continue;
             }
@@ -397,6 +399,17 @@
         self.remove_absent(now);
     }
 
+    /// Returns whether a run may begin, or go on, although the lease of its worker has ended.
+    ///
+    /// If the worker has started again under its identifier, its next incarnation carries out a start
+    /// that the one before it left unanswered, and the lease that the start carries is counted on a
+    /// clock that starts anew. A start that a predecessor sent is covered by `Worker::lease_end`.
+    fn may_still_begin(&self, run: &RunState, now: Time) -> bool {
+        let sent = matches!(run.stage, Stage::Starting | Stage::Stopping(..));
+        let unanswered = sent && !run.seen && run.since != self.term_start;
+        unanswered && now < run.since + restarted_lease(self.bounds.lease)
+    }
+
     /// Returns whether a run may be stopped only after a report: it may be in service, and others
     /// of its step are unavailable.
     fn needs_report(&self, task: &TaskId, run: &RunState, now: Time) -> bool {
--- a/crates/wigeonhinge/src/batch/worker.rs
+++ b/crates/wigeonhinge/src/batch/worker.rs
@@ -40,6 +40,19 @@
     super::WORKER_LEASE.mul_f64(1.0 + super::MAX_CLOCK_DRIFT) + LEASE_GRACE
 }
 
+/// Time within which a call to a worker that does not answer may reach the worker's next incarnation:
+/// the longest wait of a start until it is sent, and 2 s in which the worker starts again.
+const RESTART_TIME: Duration = Duration::from_secs(3);
+
+/// Returns the time after which a lease has expired for certain that a worker's next incarnation takes
+/// from a call that was sent now, and meant for the one before it.
+///
+/// The end of the lease was counted on the clock of the earlier incarnation, so that it may last for
+/// as long as a worker grants.
+pub(super) fn restarted_lease(longest: Duration) -> Duration {
+    RESTART_TIME + longest.mul_f64(1.0 + super::MAX_CLOCK_DRIFT) + LEASE_GRACE
+}
+
 /// State of a run on a worker.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Stage {
--- /dev/null
+++ b/crates/wigeonhinge/tests/batch_reborn.rs
@@ -0,0 +1,54 @@
+//! Workers that start again under their identifiers and may carry out calls that were meant for their
+//! former incarnations.
+
+#[path = "support/cluster.rs"]
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::Cluster;
+use cluster::entry;
+use cluster::job;
+use cluster::step;
+
+/// Time in which the lease of a worker ends that does not answer.
+const LEASE: Duration = Duration::from_secs(5);
+
+/// Time in which a lease ends that a worker took from a call that was meant for its former incarnation,
+/// in addition to [`LEASE`]: the longest lease of 10 s, and the time in which the call may reach it.
+const LONGEST_LEASE: Duration = Duration::from_secs(9);
+
+fn silence(cluster: &mut Cluster, id: &str) {
+    cluster.nodes.get_mut(id).expect("a known worker").silent = true;
+}
+
+/// Guards against a second run beside the one that a worker's next incarnation begins: it carries out
+/// a start that had no answer, and is cut off before its first report.
+#[test]
+fn lapse_unanswered_start() {
+    let mut cluster = Cluster::new(&["w1"]);
+    cluster.advance(Duration::from_secs(1));
+    silence(&mut cluster, "w1");
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store_writes();
+    cluster.add_worker(entry("w2"));
+    cluster.advance(LEASE);
+    assert_eq!(cluster.starts().len(), 1);
+    cluster.advance(LONGEST_LEASE);
+    assert_eq!(cluster.starts().len(), 2, "the task starts again");
+    assert_eq!(cluster.worker_of("j.0.0.0").as_deref(), Some("w2"));
+}
+
+/// A run that its worker is known to have had ends with the worker or with its lease, so the task does
+/// not wait for longer.
+#[test]
+fn lapse_confirmed_run() {
+    let mut cluster = Cluster::new(&["w1"]);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store_writes();
+    cluster.advance(Duration::from_secs(1));
+    silence(&mut cluster, "w1");
+    cluster.add_worker(entry("w2"));
+    cluster.advance(LEASE);
+    assert_eq!(cluster.starts().len(), 2, "the task starts again");
+}
--- a/crates/wigeonhinge/tests/grant.rs
+++ b/crates/wigeonhinge/tests/grant.rs
@@ -65,3 +65,30 @@
     grant.record_clock(4_000, SECOND);
     assert_eq!(grant.extend(SECOND), Some(before));
 }
+
+/// Guards against a start for the former incarnation of a worker that is sent to the next one.
+#[test]
+fn start_ordered_before_restart() {
+    let mut grant = granted();
+    grant.start_sent(&task(), 1);
+    let restarted = 2 * SECOND;
+    grant.restart(restarted);
+    assert!(grant.is_settled(), "the next incarnation refuses the start");
+    assert_eq!(grant.expiry_ms(), None);
+    assert!(!grant.may_start(SECOND, restarted));
+    grant.record_clock(20, restarted);
+    grant.extend(restarted).expect("a lease");
+    assert!(!grant.may_start(SECOND, restarted));
+    assert!(grant.may_start(restarted, restarted));
+}
+
+/// Guards against an answer of a worker's next incarnation that is taken for one of the known one: the
+/// clock of the known one shows more, even if it is slow.
+#[test]
+fn earliest_clock_slow() {
+    let grant = granted();
+    assert_eq!(Grant::default().earliest_clock(SECOND), None);
+    assert_eq!(grant.earliest_clock(SECOND), Some(5_000));
+    assert_eq!(grant.earliest_clock(3 * SECOND), Some(6_940));
+    assert_eq!(grant.earliest_clock(Duration::ZERO), Some(5_000));
+}
