Count the longest lease for a worker that has restarted

Cause: calls that were meant for the former incarnation carry an end on the former clock, which is ahead, so the next incarnation grants the longest lease that it knows. The holder forgot the lease at the restart and counted only its own extensions of 3.5 s.

Fix: from the first list of an incarnation that follows another one, its lease counts as the longest one. The fence is raised by then, so no call extends it after that.

--- a/crates/daemon/tests/reborn_worker.rs
+++ b/crates/daemon/tests/reborn_worker.rs
@@ -92,6 +92,7 @@
 /// former life of a worker are carried out by its next one, which is then cut off.
 #[rstest]
 #[case::at_once(Duration::from_millis(100))]
+#[case::later(Duration::from_millis(700))]
 fn reborn_cut_off(#[case] delay: Duration) {
     let site = Site::spawn(WORKERS);
     let entries = ["e1", "e2"].map(|name| Entry::spawn(site.store, name));
--- a/crates/wigeonhinge/src/batch/report.rs
+++ b/crates/wigeonhinge/src/batch/report.rs
@@ -105,6 +105,9 @@
             let restarted = worker.incarnation != 0;
             worker.reset_incarnation(report.incarnation);
             if restarted {
+                // From this report on, it refuses calls that were meant for the earlier incarnation.
+                worker.inherited_lease_end = now + worker::inherited_lease(self.bounds.lease);
+                worker.set_lease_end(worker.lease_end);
                 let mut kept = report.runs();
                 if report.more_finished {
                     kept.extend(self.runs_of_incarnation(id, report.incarnation));
@@ -129,7 +132,7 @@
         if !worker.has_reported {
             worker.has_reported = true;
             // The worker now has this fence, so a predecessor can no longer extend the lease.
-            worker.lease_end = now + worker::longest_lease();
+            worker.set_lease_end(now + worker::longest_lease());
             self.dirty_pools.insert(worker.entry.pool.clone());
         }
         let last_end = worker.last_end;
--- a/crates/wigeonhinge/src/batch/runs.rs
+++ b/crates/wigeonhinge/src/batch/runs.rs
@@ -16,7 +16,7 @@
 use crate::batch::worker::Stage;
 use crate::batch::worker::StopReason;
 use crate::batch::worker::Worker;
-use crate::batch::worker::restarted_lease;
+use crate::batch::worker::unanswered_lease;
 use crate::id::JobId;
 use crate::id::Time;
 
@@ -407,7 +407,7 @@
     fn may_still_begin(&self, run: &RunState, now: Time) -> bool {
         let sent = matches!(run.stage, Stage::Starting | Stage::Stopping(..));
         let unanswered = sent && !run.seen && run.since != self.term_start;
-        unanswered && now < run.since + restarted_lease(self.bounds.lease)
+        unanswered && now < run.since + unanswered_lease(self.bounds.lease)
     }
 
     /// Returns whether a run may be stopped only after a report: it may be in service, and others
--- a/crates/wigeonhinge/src/batch/worker.rs
+++ b/crates/wigeonhinge/src/batch/worker.rs
@@ -44,13 +44,18 @@
 /// the longest wait of a start until it is sent, and 2 s in which the worker starts again.
 const RESTART_TIME: Duration = Duration::from_secs(3);
 
-/// Returns the time after which a lease has expired for certain that a worker's next incarnation takes
-/// from a call that was sent now, and meant for the one before it.
+/// Returns the time after which a lease has expired for certain that a worker's incarnation takes now
+/// from a call that was meant for an earlier one.
 ///
 /// The end of the lease was counted on the clock of the earlier incarnation, so that it may last for
 /// as long as a worker grants.
-pub(super) fn restarted_lease(longest: Duration) -> Duration {
-    RESTART_TIME + longest.mul_f64(1.0 + super::MAX_CLOCK_DRIFT) + LEASE_GRACE
+pub(super) fn inherited_lease(longest: Duration) -> Duration {
+    longest.mul_f64(1.0 + super::MAX_CLOCK_DRIFT) + LEASE_GRACE
+}
+
+/// The same for a call that is sent now, if the worker does not answer.
+pub(super) fn unanswered_lease(longest: Duration) -> Duration {
+    RESTART_TIME + inherited_lease(longest)
 }
 
 /// State of a run on a worker.
@@ -147,6 +152,9 @@
     pub(super) requested_at: Time,
     /// Time after which its last lease has expired for certain.
     pub(super) lease_end: Time,
+    /// Time after which a lease has expired that its incarnation may have taken from calls that were
+    /// meant for an earlier one. It holds for all runs of the incarnation.
+    pub(super) inherited_lease_end: Time,
     /// Time before which the worker gets no tasks unless all others of its pool are paused.
     pub(super) paused_until: Time,
     /// Time before which the same holds because it left an order unanswered.
@@ -194,6 +202,7 @@
             reported_at: Time::ZERO,
             requested_at: Time::ZERO,
             lease_end,
+            inherited_lease_end: Time::ZERO,
             paused_until: Time::ZERO,
             unanswered_until: Time::ZERO,
             cordoned: false,
@@ -216,6 +225,12 @@
         self.entry = entry;
     }
 
+    /// Records that its lease has expired for certain at a time, or later if it took one from calls
+    /// that were meant for an earlier incarnation.
+    pub(super) fn set_lease_end(&mut self, lease_end: Time) {
+        self.lease_end = lease_end.max(self.inherited_lease_end);
+    }
+
     /// Clears the state that belonged to the previous incarnation.
     pub(super) fn reset_incarnation(&mut self, incarnation: u64) {
         self.incarnation = incarnation;
--- a/crates/wigeonhinge/tests/batch_reborn.rs
+++ b/crates/wigeonhinge/tests/batch_reborn.rs
@@ -22,6 +22,15 @@
     cluster.nodes.get_mut(id).expect("a known worker").silent = true;
 }
 
+/// Replaces a worker by an incarnation that runs nothing.
+fn restart(cluster: &mut Cluster, id: &str) {
+    let node = cluster.nodes.get_mut(id).expect("a known worker");
+    node.incarnation += 1;
+    node.runs.clear();
+    node.finished.clear();
+    node.last_number = 0;
+}
+
 /// Guards against a second run beside the one that a worker's next incarnation begins: it carries out
 /// a start that had no answer, and is cut off before its first report.
 #[test]
@@ -52,3 +61,38 @@
     cluster.advance(LEASE);
     assert_eq!(cluster.starts().len(), 2, "the task starts again");
 }
+
+/// Guards against a second run beside one on a restarted worker that is cut off: a call that was meant
+/// for its former incarnation may have given it the longest lease.
+#[test]
+fn lapse_after_restart() {
+    let mut cluster = Cluster::new(&["w1"]);
+    cluster.advance(Duration::from_secs(1));
+    restart(&mut cluster, "w1");
+    cluster.advance(Duration::from_millis(200));
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store_writes();
+    cluster.advance(Duration::from_millis(200));
+    assert_eq!(cluster.worker_of("j.0.0.0").as_deref(), Some("w1"));
+    silence(&mut cluster, "w1");
+    cluster.add_worker(entry("w2"));
+    cluster.advance(LEASE);
+    assert_eq!(cluster.starts().len(), 1);
+    cluster.advance(LONGEST_LEASE);
+    assert_eq!(cluster.starts().len(), 2, "the task starts again");
+}
+
+/// The longest lease ends in time: a worker that is cut off long after its restart has its usual lease.
+#[test]
+fn lapse_long_after_restart() {
+    let mut cluster = Cluster::new(&["w1"]);
+    restart(&mut cluster, "w1");
+    cluster.advance(LONGEST_LEASE + LEASE);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store_writes();
+    cluster.advance(Duration::from_millis(200));
+    silence(&mut cluster, "w1");
+    cluster.add_worker(entry("w2"));
+    cluster.advance(LEASE);
+    assert_eq!(cluster.starts().len(), 2, "the task starts again");
+}
