Store which workers restarted lately for the next role holder

Cause: only the holder knew that a worker had restarted, and so that calls meant for its former incarnation may have given it the longest lease. A successor took the lease of a silent worker as ended 5.3 s after its own start.

Fix: the holder stores the workers that restarted lately, with the ends of their longest leases, in a write no later than that of the first start that follows; a successor reads it before it adopts runs. A silent worker that is registered with another incarnation than its runs were recorded for counts as restarted.

Failed before: takeover_after_restart and takeover_during_restart. Without the stored row reborn_cut_off::with_holder failed (1 of 1); with it, it passes.

--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -473,6 +473,9 @@
                 Action::Maintain { machine, wave } => {
                     self.record_order(machine, machines::Order::Maintain(wave));
                 }
+                Action::RecordRestarts(row) => {
+                    self.queue_json(keys::restarts(self.term.partition), &row);
+                }
                 Action::Publish { wave, .. } => self.part_completed(wave),
                 Action::Log(line) => info!(self.shared.log, "{}", line),
             }
@@ -514,9 +517,11 @@
         if self.write_in_flight {
             return;
         }
-        // Orders are sent once the write with their record is stored.
-        let orders = keys::orders(self.term.partition);
-        self.extra_rows.sort_by_key(|(key, _)| *key != orders);
+        // Orders are sent once the write with their record is stored, and a start that follows the
+        // restart of its worker needs the record of the restart.
+        let partition = self.term.partition;
+        let first = [keys::orders(partition), keys::restarts(partition)];
+        self.extra_rows.sort_by_key(|(key, _)| !first.contains(key));
         let extra = self.extra_rows.len().min(writer::MAX_EXTRA_ROWS);
         let removes = self.removes.len().min(writer::MAX_REMOVES);
         let mut content = WriteContent {
--- a/crates/daemon/src/site/role/restore.rs
+++ b/crates/daemon/src/site/role/restore.rs
@@ -17,6 +17,7 @@
 use wigeonhinge::batch::OrderLog;
 use wigeonhinge::batch::OrdersRow;
 use wigeonhinge::batch::ProgressRow;
+use wigeonhinge::batch::RestartsRow;
 use wigeonhinge::batch::StateRow;
 use wigeonhinge::partition::FIRST;
 use wigeonhinge_platform::records;
@@ -61,6 +62,7 @@
     waves: Vec<Item>,
     wave_rows: Vec<Item>,
     orders: Vec<Item>,
+    restarts: Vec<Item>,
 }
 
 /// Reads the state of a partition.
@@ -81,6 +83,7 @@
         keys::wave_rows(term.partition),
         keys::orders(term.partition),
     );
+    let restarts = keys::restarts(term.partition);
     let read = |prefix| watcher::read_range(shared, prefix);
     let jobs = future::join(read(&inputs), read(&progress));
     let fleet = future::join3(
@@ -98,11 +101,12 @@
         {
             site::wait_for_change(shared, CHECK_INTERVAL).await;
         }
-        future::join3(jobs, fleet, read(&orders)).await
+        future::join4(jobs, fleet, read(&orders), read(&restarts)).await
     };
     let lost = role_lost(shared, term, messages);
     match future::select(Box::pin(reads), Box::pin(lost)).await {
-        Either::Left((((inputs, progress), (workers, waves, wave_rows), orders), _)) => {
+        Either::Left(((jobs, (workers, waves, wave_rows), orders, restarts), _)) => {
+            let (inputs, progress) = jobs;
             Ok(Snapshot {
                 inputs,
                 progress: progress.0,
@@ -110,6 +114,7 @@
                 waves: waves.0,
                 wave_rows: wave_rows.0,
                 orders: orders.0,
+                restarts: restarts.0,
             })
         }
         Either::Right((reason, _)) => Err(reason),
@@ -137,6 +142,7 @@
 impl Role {
     /// Restores the scheduler's state from the store.
     pub(super) fn restore(&mut self, snapshot: Snapshot, now: Time) {
+        self.restore_restarts(snapshot.restarts, now);
         self.replace_workers(snapshot.workers.0);
         let partition = self.term.partition;
         let mut progress = BTreeMap::new();
@@ -215,6 +221,17 @@
         }
     }
 
+    fn restore_restarts(&mut self, items: Vec<Item>, now: Time) {
+        let key = keys::restarts(self.term.partition);
+        let Some(item) = items.into_iter().find(|item| item.key == key) else {
+            return;
+        };
+        match serde_json::from_slice::<RestartsRow>(&item.value) {
+            Ok(row) => self.batch.restore_restarts(&row, now),
+            Err(error) => self.log_invalid(&item.key, &error.to_string()),
+        }
+    }
+
     /// Takes over the removal of the states of ended jobs from earlier holders.
     pub(super) fn restore_states(&mut self, items: Vec<Item>) {
         let now = clock::now();
--- a/crates/daemon/tests/reborn_worker.rs
+++ b/crates/daemon/tests/reborn_worker.rs
@@ -16,6 +16,7 @@
 use rstest::rstest;
 
 use entry::Entry;
+use entry::wait;
 use site::Site;
 use site::proxy::Mode;
 
@@ -89,17 +90,23 @@
 }
 
 /// Guards against runs that go on beside their next ones: starts and leases that were meant for the
-/// former life of a worker are carried out by its next one, which is then cut off.
+/// former life of a worker are carried out by its next one, which is then cut off, in one case while
+/// the role holder is killed.
 #[rstest]
-#[case::at_once(Duration::from_millis(100))]
-#[case::later(Duration::from_millis(700))]
-fn reborn_cut_off(#[case] delay: Duration) {
+#[case::at_once(Duration::from_millis(100), false)]
+#[case::later(Duration::from_millis(700), false)]
+#[case::with_holder(Duration::from_millis(700), true)]
+fn reborn_cut_off(#[case] delay: Duration, #[case] kill: bool) {
     let site = Site::spawn(WORKERS);
-    let entries = ["e1", "e2"].map(|name| Entry::spawn(site.store, name));
-    entries.iter().for_each(Entry::wait_ready);
+    let mut holder = Entry::spawn(site.store, "e1");
+    wait("the first entry holds the role", || {
+        site.value("wigeonhinge/role/0").is_some()
+    });
+    let entry = Entry::spawn(site.store, "e2");
+    entry.wait_ready();
     let stop = Arc::new(AtomicBool::new(false));
     let jobs = thread::scope(|scope| {
-        let submitting = scope.spawn(|| submit_short(&site, &entries[0], &stop));
+        let submitting = scope.spawn(|| submit_short(&site, &entry, &stop));
         scope.spawn(|| {
             while !stop.load(Ordering::SeqCst) {
                 site.workers.iter().for_each(|worker| worker.expire());
@@ -115,19 +122,22 @@
         (0..REBORN).for_each(|index| site.workers[index].restart());
         thread::sleep(SUBMISSION);
         let long = (site::worker::LONG, LONG_TASKS);
-        let mut accepted = vec![submit(&site, &entries[0], LONG_JOBS[0], long)];
+        let mut accepted = vec![submit(&site, &entry, LONG_JOBS[0], long)];
         thread::sleep(SILENCE - SUBMISSION);
         (0..REBORN).for_each(|index| restart(&site, index, 3));
         set_links(Mode::Pass);
         thread::sleep(SUBMISSION);
         accepted.push(submit(
             &site,
-            &entries[0],
+            &entry,
             LONG_JOBS[1],
             (long.0, LONG_TASKS / 2),
         ));
         thread::sleep(delay - SUBMISSION);
         set_links(Mode::Hold);
+        if kill {
+            holder.child.kill().expect("the holder is killed");
+        }
         thread::sleep(CUT);
         set_links(Mode::Pass);
         thread::sleep(Duration::from_secs(1));
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -30,6 +30,7 @@
 mod racks;
 mod ready;
 mod report;
+mod restarts;
 mod row;
 mod runs;
 mod spec;
@@ -80,6 +81,7 @@
 pub use crate::batch::report::End;
 pub use crate::batch::report::FinishedRun;
 pub use crate::batch::report::Report;
+pub use crate::batch::restarts::RestartsRow;
 pub use crate::batch::row::JobRow;
 pub use crate::batch::row::LostRunRow;
 pub use crate::batch::row::Phase;
@@ -166,6 +168,8 @@
     demand_history: DemandHistory,
     maintenance: MaintenanceWaves,
     machines: BTreeMap<VmId, machines::ManagedMachine>,
+    /// Workers that restarted lately, with the ends of the longest leases that they may have.
+    restarts: BTreeMap<WorkerId, Time>,
     /// Worker that each machine registered last.
     newest_workers: BTreeMap<VmId, WorkerId>,
     /// Machines that belong to other partitions.
@@ -214,6 +218,7 @@
             demand_history: DemandHistory::default(),
             maintenance: MaintenanceWaves::default(),
             machines: BTreeMap::new(),
+            restarts: BTreeMap::new(),
             newest_workers: BTreeMap::new(),
             foreign_machines: BTreeSet::new(),
             blocked_until: BTreeMap::new(),
@@ -455,11 +460,10 @@
                 if drains || shrank {
                     self.withdraw_starts(&id, now);
                 }
+                self.check_adopted(&id, now);
             }
             None => {
-                let lease_end = now + contact::predecessor_lease();
-                let id = entry.id.clone();
-                self.workers.insert(id, Worker::new(entry, now, lease_end));
+                self.add_worker(entry, now, now + contact::predecessor_lease());
                 self.cordon_ordered(now);
             }
         }
--- a/crates/wigeonhinge/src/batch/crash.rs
+++ b/crates/wigeonhinge/src/batch/crash.rs
@@ -333,6 +333,7 @@
             return;
         };
         let tasks: Vec<TaskId> = job.tasks().map(|(task, _)| task).collect();
+        let mut adopted: BTreeSet<WorkerId> = BTreeSet::new();
         for task in tasks {
             let step = job.step(task.step);
             let (long_running, gang) = step.map_or((false, false), |it| (it.long_running, it.gang));
@@ -363,8 +364,12 @@
                 && state.incarnation != 0
             {
                 worker.incarnation = state.incarnation;
+                adopted.extend(state.worker().cloned());
             }
         }
+        for id in adopted {
+            self.check_adopted(&id, now);
+        }
     }
 
     /// Records that it is known whether a worker crashed.
--- a/crates/wigeonhinge/src/batch/event.rs
+++ b/crates/wigeonhinge/src/batch/event.rs
@@ -9,6 +9,7 @@
 use crate::batch::Machine;
 use crate::batch::ProgressRow;
 use crate::batch::Report;
+use crate::batch::RestartsRow;
 use crate::batch::Run;
 use crate::batch::StateRow;
 use crate::batch::TaskId;
@@ -142,6 +143,8 @@
         /// Number of the last finished run to acknowledge.
         end: u64,
     },
+    /// Store the workers that restarted lately, before any start that follows.
+    RecordRestarts(RestartsRow),
     /// Move a machine to another pool.
     Move {
         /// Machine to move.
--- a/crates/wigeonhinge/src/batch/report.rs
+++ b/crates/wigeonhinge/src/batch/report.rs
@@ -105,9 +105,7 @@
             let restarted = worker.incarnation != 0;
             worker.reset_incarnation(report.incarnation);
             if restarted {
-                // From this report on, it refuses calls that were meant for the earlier incarnation.
-                worker.inherited_lease_end = now + worker::inherited_lease(self.bounds.lease);
-                worker.set_lease_end(worker.lease_end);
+                self.worker_restarted(id, now);
                 let mut kept = report.runs();
                 if report.more_finished {
                     kept.extend(self.runs_of_incarnation(id, report.incarnation));
--- a/crates/wigeonhinge/src/batch/runs.rs
+++ b/crates/wigeonhinge/src/batch/runs.rs
@@ -65,6 +65,9 @@
                 };
                 let mut worker = Worker::new(entry, now, lease_end);
                 worker.unregistered = true;
+                if let Some(until) = self.restarts.get(name) {
+                    worker.inherit_lease(*until);
+                }
                 self.workers.insert(name.clone(), worker);
             }
             if let Some(worker) = self.workers.get_mut(name) {
--- a/crates/wigeonhinge/src/batch/worker.rs
+++ b/crates/wigeonhinge/src/batch/worker.rs
@@ -225,6 +225,13 @@
         self.entry = entry;
     }
 
+    /// Records that its incarnation may have taken a lease that lasts until then from calls that were
+    /// meant for an earlier one.
+    pub(super) fn inherit_lease(&mut self, until: Time) {
+        self.inherited_lease_end = self.inherited_lease_end.max(until);
+        self.set_lease_end(self.lease_end);
+    }
+
     /// Records that its lease has expired for certain at a time, or later if it took one from calls
     /// that were meant for an earlier incarnation.
     pub(super) fn set_lease_end(&mut self, lease_end: Time) {
--- a/crates/wigeonhinge/tests/batch_reborn.rs
+++ b/crates/wigeonhinge/tests/batch_reborn.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cluster::Cluster;
+use cluster::Node;
 use cluster::entry;
 use cluster::job;
 use cluster::step;
@@ -96,3 +97,47 @@
     cluster.advance(LEASE);
     assert_eq!(cluster.starts().len(), 2, "the task starts again");
 }
+
+/// Time in which a successor takes the leases of its predecessor's workers as ended, if they do not
+/// answer.
+const PREDECESSOR_LEASE: Duration = Duration::from_secs(6);
+
+/// Guards against a second run beside one on a restarted worker that is cut off together with the
+/// role holder, which alone knew of the restart.
+#[test]
+fn takeover_after_restart() {
+    let mut cluster = Cluster::new(&["w1"]);
+    cluster.advance(Duration::from_secs(1));
+    restart(&mut cluster, "w1");
+    cluster.advance(Duration::from_millis(200));
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store_writes();
+    cluster.advance(Duration::from_millis(200));
+    silence(&mut cluster, "w1");
+    cluster.entries.push(entry("w2"));
+    cluster.nodes.insert("w2".into(), Node::default());
+    cluster.take_over();
+    cluster.advance(PREDECESSOR_LEASE);
+    assert_eq!(cluster.starts().len(), 1);
+    cluster.advance(LONGEST_LEASE);
+    assert_eq!(cluster.starts().len(), 2, "the task starts again");
+}
+
+/// Guards against the same if the holder was lost before it knew of the restart: the registry names
+/// another incarnation than the record of the run.
+#[test]
+fn takeover_during_restart() {
+    let mut cluster = Cluster::new(&["w1"]);
+    cluster.advance(Duration::from_secs(1));
+    silence(&mut cluster, "w1");
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store_writes();
+    cluster.entries[0].incarnation = 2;
+    cluster.entries.push(entry("w2"));
+    cluster.nodes.insert("w2".into(), Node::default());
+    cluster.take_over();
+    cluster.advance(PREDECESSOR_LEASE);
+    assert_eq!(cluster.starts().len(), 1);
+    cluster.advance(LONGEST_LEASE);
+    assert_eq!(cluster.starts().len(), 2, "the task starts again");
+}
--- a/crates/wigeonhinge/tests/support/cluster.rs
+++ b/crates/wigeonhinge/tests/support/cluster.rs
@@ -202,6 +202,13 @@
     /// Replaces the holder by a successor that knows only what is in the store.
     pub fn take_over(&mut self) {
         self.batch = Batch::new(bounds(), catalog(), -100_000, self.now);
+        let rows = self.actions.iter().rev();
+        let row = rows.clone().find_map(|action| match action {
+            Action::RecordRestarts(row) => Some(row.clone()),
+            _ => None,
+        });
+        self.batch
+            .restore_restarts(&row.unwrap_or_default(), self.now);
         self.handle(Event::Workers(self.entries.clone()));
         for (id, phase) in &self.states {
             if phase.terminal() {
--- a/crates/wigeonhinge/tests/support/load.rs
+++ b/crates/wigeonhinge/tests/support/load.rs
@@ -420,6 +420,7 @@
                 | Action::Publish { .. }
                 | Action::WithdrawStop { .. }
                 | Action::WithdrawStarts { .. }
+                | Action::RecordRestarts(_)
                 | Action::Log(_) => {}
             }
         }
