--- a/crates/daemon/src/site/worker.rs
+++ b/crates/daemon/src/site/worker.rs
@@ -300,7 +300,7 @@
 
     /// Returns whether a report is that of an incarnation of which none was reported yet, and which is
     /// not the first one.
-    fn is_newcomer(&self, report: &Report) -> bool {
+    fn is_next_incarnation(&self, report: &Report) -> bool {
         let (known, born) = (self.incarnation.get(), report.incarnation);
         known != 0 && born != 0 && known != born
     }
@@ -328,7 +328,7 @@
     let mut replaced = false;
     let mut list_is_cut = false;
     // Incarnation that answered before the fence was raised for it.
-    let mut newcomer = 0;
+    let mut unfenced = 0;
     loop {
         if inner.acknowledged.get() < last_received {
             let listener = inner.acknowledged_changed.listen();
@@ -340,7 +340,7 @@
         // The worker responds at once anyway while it has ends that are not acknowledged.
         let answered_at_once =
             inner.acknowledged.get() < last_received || inner.grant.borrow().expiry_ms().is_none();
-        let wait = match answered_at_once || newcomer != 0 {
+        let wait = match answered_at_once || unfenced != 0 {
             true => Duration::ZERO,
             false => POLL_WAIT,
         };
@@ -362,13 +362,14 @@
         );
         match poll.await {
             Ok(status)
-                if inner.is_newcomer(&status.report) && status.report.incarnation != newcomer =>
+                if inner.is_next_incarnation(&status.report)
+                    && status.report.incarnation != unfenced =>
             {
-                newcomer = status.report.incarnation;
+                unfenced = status.report.incarnation;
                 inner.unresponsive.set(true);
                 inner.raise_fence().await;
                 info!(inner.log, "worker: started again under its identifier";
-                    "worker" => %inner.worker, "born" => newcomer, "fence" => inner.fence.get());
+                    "worker" => %inner.worker, "born" => unfenced, "fence" => inner.fence.get());
             }
             Ok(mut status) => {
                 if inner.unresponsive.replace(false) {
@@ -381,10 +382,10 @@
                     warn!(inner.log, "worker: rows of its lists cannot be decoded, ignoring them";
                         "worker" => %inner.worker, "rows" => status.unreadable);
                 }
-                if inner.is_newcomer(&status.report) {
+                if inner.is_next_incarnation(&status.report) {
                     inner.start_incarnation();
                     last_received = 0;
-                    newcomer = 0;
+                    unfenced = 0;
                 }
                 if status.report.incarnation != 0 {
                     inner.incarnation.set(status.report.incarnation);
--- a/crates/daemon/tests/support/entry.rs
+++ b/crates/daemon/tests/support/entry.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 use std::fs;
+use std::fs::File;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -35,6 +36,11 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = fs::remove_file(&self.file);
+        let log = self.file.with_extension("log");
+        match thread::panicking() {
+            true => println!("log of an entry: {}", log.display()),
+            false => drop(fs::remove_file(log)),
+        }
     }
 }
 
@@ -73,7 +79,8 @@
         let file = format!("wigeonhinge-{}-{name}.jsonc", callers.port());
         let file = std::env::temp_dir().join(file);
         fs::write(&file, text).expect("the settings file is written");
-        let child = program(&file, Stdio::null());
+        let log = File::create(file.with_extension("log")).expect("the log file is created");
+        let child = program(&file, log.into());
         Self {
             child,
             callers,
