Choose addresses and start entries one at a time in tests

Cause, suspected: the process that one thread starts holds the probe socket of another for a moment, so that an entry's address is in use when it binds.

--- a/crates/daemon/tests/support/entry.rs
+++ b/crates/daemon/tests/support/entry.rs
@@ -12,6 +12,9 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -44,8 +47,17 @@
     }
 }
 
+/// Held while an address is chosen and while a process starts. A process that starts holds the sockets
+/// of its parent for a moment, so that the address of one that was probed meanwhile stays in use.
+static STARTING: Mutex<()> = Mutex::new(());
+
+fn lock_start() -> MutexGuard<'static, ()> {
+    STARTING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Starts the daemon with a settings file.
 pub fn program(file: &Path, log: Stdio) -> Child {
+    let _guard = lock_start();
     Command::new(env!("CARGO_BIN_EXE_wigeonhinged"))
         .args(["--site", "--settings"])
         .arg(file)
@@ -67,7 +79,10 @@
 
     /// Like [`Entry::spawn_with`], with the retention time of ended jobs in seconds.
     pub fn spawn_retaining(store: SocketAddr, name: &str, more: &str, retention: f64) -> Self {
-        let (callers, readiness, metrics) = (unused_address(), unused_address(), unused_address());
+        let (callers, readiness, metrics) = {
+            let _guard = lock_start();
+            (unused_address(), unused_address(), unused_address())
+        };
         let text = format!(
             r#"// Settings of a test.
             {{ "entry": "{name}", "zone": "a", "callers": "{callers}", "readiness": "{readiness}",
