--- a/crates/daemon/src/site/election.rs
+++ b/crates/daemon/src/site/election.rs
@@ -55,8 +55,8 @@
     pub(super) partition: Partition,
     pub(super) fence: Fence,
     pub(super) lease: LeaseId,
-    /// Current revision of the partition's chain key. It is above the fences of all calls to workers so
-    /// far, and below the fence of any successor, whose claim changes the chain key as well.
+    /// Current revision of the partition's chain key, from which workers get fences: it rises with each
+    /// write and stays below the fence of any successor, whose claim changes the chain key as well.
     pub(super) revision: Rc<Cell<Revision>>,
     /// Identifier of the term, which distinguishes its writes from those of other terms.
     pub(super) session: String,
--- a/crates/daemon/src/site/worker.rs
+++ b/crates/daemon/src/site/worker.rs
@@ -298,8 +298,7 @@
         }
     }
 
-    /// Returns whether a report is that of an incarnation of which none was reported yet, and which is
-    /// not the first one.
+    /// Returns whether a report is that of another incarnation than the one that was reported last.
     fn is_next_incarnation(&self, report: &Report) -> bool {
         let (known, born) = (self.incarnation.get(), report.incarnation);
         known != 0 && born != 0 && known != born
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -8,8 +8,10 @@
 //! - A finished run is acknowledged to its worker only after the store holds its
 //!   result.
 //! - A run that may exist on a worker is considered lost only when the worker
-//!   does not list it in a complete report under the current fence, the worker
-//!   has a new incarnation, or its lease has expired.
+//!   does not list it in a complete report under the current fence, a new
+//!   incarnation of the worker does not list it under a fence of its own, or its
+//!   lease has expired. A run whose start had no answer may begin under the lease
+//!   of the next incarnation, so it counts as lost only after the longest lease.
 
 mod balance;
 mod catalog;
--- a/crates/wigeonhinge/src/batch/restarts.rs
+++ b/crates/wigeonhinge/src/batch/restarts.rs
@@ -1,7 +1,7 @@
 //! Restarts of workers under their identifiers, which the next role holder has to know.
 //!
 //! Calls that were meant for an earlier incarnation of a worker may have given the present one the
-//! longest lease. A successor can tell neither from the worker's lists.
+//! longest lease. The worker's lists show neither the lease nor the earlier incarnation.
 
 use std::collections::BTreeMap;
 
--- a/crates/wigeonhinge/tests/batch_restarts.rs
+++ b/crates/wigeonhinge/tests/batch_restarts.rs
@@ -32,6 +32,20 @@
     node.last_number = 0;
 }
 
+/// Returns a cluster whose only worker has restarted, runs the job's task and is cut off.
+fn restarted_and_cut_off() -> Cluster {
+    let mut cluster = Cluster::new(&["w1"]);
+    cluster.advance(Duration::from_secs(1));
+    restart(&mut cluster, "w1");
+    cluster.advance(Duration::from_millis(200));
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.store_writes();
+    cluster.advance(Duration::from_millis(200));
+    assert_eq!(cluster.worker_of("j.0.0.0").as_deref(), Some("w1"));
+    silence(&mut cluster, "w1");
+    cluster
+}
+
 /// Guards against a second run beside the one that a worker's next incarnation begins: it carries out
 /// a start that had no answer, and is cut off before its first report.
 #[test]
@@ -67,15 +81,7 @@
 /// for its former incarnation may have given it the longest lease.
 #[test]
 fn lapse_after_restart() {
-    let mut cluster = Cluster::new(&["w1"]);
-    cluster.advance(Duration::from_secs(1));
-    restart(&mut cluster, "w1");
-    cluster.advance(Duration::from_millis(200));
-    cluster.submit(job("j", vec![step(1)]));
-    cluster.store_writes();
-    cluster.advance(Duration::from_millis(200));
-    assert_eq!(cluster.worker_of("j.0.0.0").as_deref(), Some("w1"));
-    silence(&mut cluster, "w1");
+    let mut cluster = restarted_and_cut_off();
     cluster.add_worker(entry("w2"));
     cluster.advance(LEASE);
     assert_eq!(cluster.starts().len(), 1);
@@ -106,14 +112,7 @@
 /// role holder, which alone knew of the restart.
 #[test]
 fn takeover_after_restart() {
-    let mut cluster = Cluster::new(&["w1"]);
-    cluster.advance(Duration::from_secs(1));
-    restart(&mut cluster, "w1");
-    cluster.advance(Duration::from_millis(200));
-    cluster.submit(job("j", vec![step(1)]));
-    cluster.store_writes();
-    cluster.advance(Duration::from_millis(200));
-    silence(&mut cluster, "w1");
+    let mut cluster = restarted_and_cut_off();
     cluster.entries.push(entry("w2"));
     cluster.nodes.insert("w2".into(), Node::default());
     cluster.take_over();
