Allow for rounding when a worker's clock is compared

Cause: a worker that rounds its time to milliseconds before and after it applies the rate of its clock may show the same time again 2 ms later. Then the answer to a start was taken for one of the worker's next incarnation, and the run was stopped and started again.

--- a/crates/wigeonhinge/src/batch/grant.rs
+++ b/crates/wigeonhinge/src/batch/grant.rs
@@ -1,6 +1,7 @@
 //! Lease granted to one worker, and starts that may still reach the worker.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::batch::MAX_CLOCK_DRIFT;
 use crate::batch::Run;
@@ -9,6 +10,11 @@
 use crate::batch::worker;
 use crate::id::Time;
 
+/// Most by which a reading of a clock in milliseconds may be behind, as a worker rounds its time before
+/// and after it applies the rate of its clock. A restart that moves a clock by less than this moves the
+/// end of a lease by less than the grace after it.
+const CLOCK_ROUNDING: Duration = Duration::from_millis(20);
+
 /// Lease of a worker, as known to the entry that grants it.
 ///
 /// Once a lease has expired, its runs are considered lost and may start on another
@@ -50,7 +56,8 @@
     pub fn earliest_clock(&self, now: Time) -> Option<u64> {
         let (millis, read) = self.clock?;
         let passed = now.saturating_sub(read).mul_f64(1.0 - MAX_CLOCK_DRIFT);
-        Some(millis + passed.as_millis() as u64)
+        let earliest = millis + passed.as_millis() as u64;
+        Some(earliest.saturating_sub(CLOCK_ROUNDING.as_millis() as u64))
     }
 
     /// Begins the lease of the worker's next incarnation, which refuses all calls that were meant for
