Log what tells the causes of doubled runs after restarts apart

A poll without an answer logs the ends that it acknowledges and whether it extends the lease, as the worker's next incarnation may carry it out. The log line of a restart has the clock, the runs and the ends of the withheld list. A successor logs, for each worker with recorded runs, the recorded, registered and reported incarnation.

--- a/crates/daemon/src/site/worker.rs
+++ b/crates/daemon/src/site/worker.rs
@@ -367,8 +367,12 @@
                 unfenced = status.report.incarnation;
                 inner.unresponsive.set(true);
                 inner.raise_fence().await;
+                // This list is withheld, as the incarnation may still begin runs that it lacks.
                 info!(inner.log, "worker: started again under its identifier";
-                    "worker" => %inner.worker, "born" => unfenced, "fence" => inner.fence.get());
+                    "worker" => %inner.worker, "born" => unfenced, "fence" => inner.fence.get(),
+                    "clock_ms" => status.clock_ms, "runs" => status.report.running.len(),
+                    "ended" => status.report.finished.len(), "acknowledged" => acknowledged,
+                    "until_ms" => until);
             }
             Ok(mut status) => {
                 if inner.unresponsive.replace(false) {
@@ -413,8 +417,10 @@
             Err(Refusal::Fenced) => return inner.report_fenced(),
             Err(refusal) => {
                 if !inner.unresponsive.replace(true) {
+                    // A poll without an answer may reach the worker's next incarnation.
                     warn!(inner.log, "worker: does not answer";
-                        "worker" => %inner.worker, "reason" => ?refusal);
+                        "worker" => %inner.worker, "reason" => ?refusal,
+                        "acknowledged" => acknowledged, "until_ms" => until);
                 }
                 if refusal == Refusal::OtherInstance && !std::mem::replace(&mut replaced, true) {
                     info!(inner.log, "worker: another instance answers at its address";
--- a/crates/wigeonhinge/src/batch/report.rs
+++ b/crates/wigeonhinge/src/batch/report.rs
@@ -101,6 +101,19 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        if !worker.has_reported && !worker.runs.is_empty() {
+            let line = format!(
+                "jobs: worker {id} reports {} runs and {} ends for the first time in this term, {} \
+                 are recorded; recorded for incarnation {}, registered {}, reported {}",
+                report.running.len(),
+                report.finished.len(),
+                worker.runs.len(),
+                worker.incarnation,
+                worker.entry.incarnation,
+                report.incarnation
+            );
+            self.actions.push(Action::Log(line));
+        }
         if report.incarnation != 0 && worker.incarnation != report.incarnation {
             let restarted = worker.incarnation != 0;
             worker.reset_incarnation(report.incarnation);
