--- a/crates/cli/src/measure/batch.rs
+++ b/crates/cli/src/measure/batch.rs
@@ -223,6 +223,7 @@
         });
         let report = WorkerReport {
             incarnation: 1,
+            age: self.now,
             requested_at: self.now,
             answered_by: self.now,
             running: running.collect(),
