Acknowledge ends only to the incarnation that numbered them

Callers would see a task start again after its end (TWICE). A holder that stored results of a worker while that started again at another address took their acknowledgement over the new connection, which did not know the present incarnation yet. Its polls then acknowledged the ends of the present incarnation by the numbers of the former one: those that came between two polls were in no list, their runs counted as lost, and the tasks started again.

The acknowledgement is kept with its incarnation, and used once an answer shows that one.

--- a/crates/daemon/src/site/worker.rs
+++ b/crates/daemon/src/site/worker.rs
@@ -85,8 +85,8 @@
     outbox_changed: event_listener::Event,
     /// Incarnation whose lists were reported last, as the time at which it began; 0 if unknown.
     incarnation: Cell<u64>,
-    /// Highest number of an end that the store holds; polls acknowledge it to the worker.
-    acknowledged: Cell<u64>,
+    /// Highest number of an end that the store holds, with the incarnation that numbered it.
+    acknowledged: Cell<(u64, u64)>,
     acknowledged_changed: event_listener::Event,
     /// Contact of the role holder, which lets it extend leases.
     contact: Rc<Cell<Contact>>,
@@ -117,7 +117,7 @@
         outbox: RefCell::new(Outbox::default()),
         outbox_changed: event_listener::Event::new(),
         incarnation: Cell::new(0),
-        acknowledged: Cell::new(0),
+        acknowledged: Cell::default(),
         acknowledged_changed: event_listener::Event::new(),
         contact: Rc::clone(&term.contact),
         unresponsive: Cell::new(false),
@@ -168,13 +168,14 @@
 
     /// Acknowledges ends of an incarnation up to a number with the next poll.
     ///
-    /// The worker may have restarted since it reported them, and numbers its ends anew.
+    /// The worker may have restarted since it reported them, and numbers its ends anew. If it has not
+    /// answered yet, its first answer tells whether they are ends of its present incarnation.
     pub(super) fn acknowledge(&self, incarnation: u64, end: u64) {
         let known = self.inner.incarnation.get();
-        if incarnation != 0 && known != 0 && incarnation != known {
+        if known != 0 && incarnation != known {
             return;
         }
-        self.inner.acknowledged.set(end);
+        self.inner.acknowledged.set((incarnation, end));
         self.inner.acknowledged_changed.notify(1);
     }
 }
@@ -273,10 +274,16 @@
         }
     }
 
-    /// Forgets what belonged to the worker's earlier incarnation; the numbers of its ends, its clock
-    /// and so its lease start anew.
+    /// Returns the highest number of an end of the present incarnation that the store holds.
+    fn acknowledged(&self) -> u64 {
+        match self.acknowledged.get() {
+            (incarnation, end) if incarnation == self.incarnation.get() => end,
+            _ => 0,
+        }
+    }
+
+    /// Forgets what belonged to the worker's earlier incarnation; its clock and so its lease start anew.
     fn start_incarnation(&self) {
-        self.acknowledged.set(0);
         self.grant.borrow_mut().restart(clock::now());
     }
 
@@ -329,16 +336,16 @@
     // Incarnation that answered before the fence was raised for it.
     let mut unfenced = 0;
     loop {
-        if inner.acknowledged.get() < last_received {
+        if inner.acknowledged() < last_received {
             let listener = inner.acknowledged_changed.listen();
-            if inner.acknowledged.get() < last_received {
+            if inner.acknowledged() < last_received {
                 let sleep = compio::time::sleep(STORE_WAIT);
                 future::select(Box::pin(listener), Box::pin(sleep)).await;
             }
         }
         // The worker responds at once anyway while it has ends that are not acknowledged.
         let answered_at_once =
-            inner.acknowledged.get() < last_received || inner.grant.borrow().expiry_ms().is_none();
+            inner.acknowledged() < last_received || inner.grant.borrow().expiry_ms().is_none();
         let wait = match answered_at_once || unfenced != 0 {
             true => Duration::ZERO,
             false => POLL_WAIT,
@@ -350,7 +357,7 @@
         // The next incarnation of a worker that has restarted numbers its ends anew.
         let acknowledged = match inner.unresponsive.get() {
             true => 0,
-            false => inner.acknowledged.get(),
+            false => inner.acknowledged(),
         };
         let target = inner.target();
         let poll = worker::poll(
--- a/crates/daemon/tests/former_calls.rs
+++ b/crates/daemon/tests/former_calls.rs
@@ -20,8 +20,10 @@
 
 use entry::Entry;
 use entry::wait;
+use site::Call;
 use site::Site;
 use site::proxy::Mode;
+use site::proxy::Proxy;
 use site::worker::LONG;
 
 /// Time until the workers' clocks are ahead of those of the next incarnations by more than a lease.
@@ -61,6 +63,12 @@
     assert_eq!(violations, Vec::<String>::new());
 }
 
+/// Returns up to which number a poll acknowledges ends.
+fn observed(call: &Call) -> u64 {
+    let body: serde_json::Value = serde_json::from_slice(&call.body).unwrap_or_default();
+    body["observed"].as_u64().unwrap_or(0)
+}
+
 /// Submits a job of some tasks of half a core.
 fn submit(site: &Site, entry: &Entry, id: &str, (spec, count): (&str, u64)) {
     let job = format!(
@@ -127,9 +135,11 @@
 
 /// Guards against a task that starts again after its end: a poll with the acknowledgements of the former
 /// incarnation reaches the next one, on which a run has ended meanwhile.
-#[test]
+#[rstest]
+#[case::idle_poll(false)]
+#[case::acknowledging_poll(true)]
 #[ignore = "KNOWN-RED.txt, issue 42"]
-fn acknowledgement_after_restart() {
+fn acknowledgement_after_restart(#[case] acknowledging: bool) {
     let site = Site::spawn(3);
     let entry = Entry::spawn(site.store, "e1");
     entry.wait_ready();
@@ -140,14 +150,22 @@
         wait_complete(&site, before);
         // Time for the acknowledgement of the last end.
         thread::sleep(Duration::from_millis(800));
+        if acknowledging {
+            submit(&site, &entry, "000000000000000d", ("t", 20));
+        }
         let captured = Arc::new(AtomicBool::new(false));
         let capture = Arc::clone(&captured);
-        worker.set_lateness(Some(Box::new(move |path| match path {
-            "/wigeonhinge/hold" if !capture.swap(true, Ordering::SeqCst) => {
-                Some(Duration::from_millis(700))
+        worker.set_lateness(Some(Box::new(move |call| {
+            let is_wanted = !acknowledging || observed(call) > 0;
+            match call.path.as_str() {
+                "/wigeonhinge/hold" if is_wanted && !capture.swap(true, Ordering::SeqCst) => {
+                    Some(Duration::from_millis(700))
+                }
+                "/wigeonhinge/run-start" if capture.load(Ordering::SeqCst) => {
+                    Some(Duration::from_millis(50))
+                }
+                _ => None,
             }
-            "/wigeonhinge/run-start" => Some(Duration::from_millis(50)),
-            _ => None,
         })));
         wait("a poll is late", || captured.load(Ordering::SeqCst));
         worker.restart();
@@ -159,3 +177,39 @@
         thread::sleep(Duration::from_secs(1));
     });
 }
+
+/// Guards against the same for an acknowledgement that the holder takes before the first answer over a
+/// connection that is made anew, as the worker has started again at another address.
+#[test]
+fn acknowledgement_after_new_address() {
+    let site = Site::spawn(1);
+    let entry = Entry::spawn(site.store, "e1");
+    entry.wait_ready();
+    play(&site, || {
+        let before = "000000000000000b";
+        submit(&site, &entry, before, ("t", 60));
+        wait_complete(&site, before);
+        thread::sleep(Duration::from_millis(800));
+        // The results of the next job are stored after the worker's restart.
+        site.faults.slow_commits_ms.store(400, Ordering::SeqCst);
+        submit(&site, &entry, "000000000000000d", ("t", 8));
+        wait_complete(&site, "000000000000000d");
+        site.workers[0].crash();
+        let proxy = Proxy::spawn(site.servers[0]);
+        let born = site.workers[0].born() + 1;
+        site.register(0, Some(proxy.address), born);
+        thread::sleep(Duration::from_millis(900));
+        site.faults.slow_commits_ms.store(0, Ordering::SeqCst);
+        assert_eq!(site.workers[0].revive(), born);
+        let id = "000000000000000c";
+        submit(&site, &entry, id, ("t", 60));
+        wait_complete(&site, id);
+        thread::sleep(Duration::from_secs(1));
+    });
+    let calls = site.oracle.traced();
+    let is_last = |line: &&String| line.contains("i-0/3") && line.contains("observed 60");
+    assert!(
+        calls.iter().any(|line| is_last(&line)),
+        "all ends are acknowledged"
+    );
+}
--- a/crates/daemon/tests/restart_series/play.rs
+++ b/crates/daemon/tests/restart_series/play.rs
@@ -22,6 +22,7 @@
 use crate::plan::ENTRIES;
 use crate::plan::Strike;
 use crate::plan::WORKERS;
+use crate::site::Call;
 use crate::site::Site;
 use crate::site::lock;
 use crate::site::proxy::Mode;
@@ -123,13 +124,13 @@
     match action {
         Action::Crash(index) => site.workers[index].crash(),
         Action::Revive(index) => drop(site.workers[index].revive()),
-        Action::Register(index) => register(site, index),
+        Action::Register(index) => site.register(index, None, site.workers[index].born()),
         Action::Cut(index) => site.proxies[index].set_mode(Mode::Hold),
         Action::Heal(index) => site.proxies[index].set_mode(Mode::Pass),
         Action::Late(share) => {
             for worker in &site.workers {
                 let mut random = Pcg64::seed_from_u64(random.random());
-                let late = move |_: &str| {
+                let late = move |_: &Call| {
                     let is_late = random.random_bool(share);
                     is_late.then(|| plan::late_by(&mut random))
                 };
@@ -166,15 +167,6 @@
     let _ = kill_process(Pid::from_child(&entry.child), signal);
 }
 
-/// Registers the present incarnation of a worker.
-fn register(site: &Site, index: usize) {
-    let key = format!("servers/i-{index}");
-    let row = site.value(&key).expect("a registry entry");
-    let mut row: serde_json::Value = serde_json::from_str(&row).expect("a registry entry");
-    row["born"] = site.workers[index].born().into();
-    site.put(&key, &row.to_string());
-}
-
 fn submit_lasting(site: &Site, entries: &Mutex<Vec<Entry>>) {
     let job = format!(
         r#"{{"spec":"{LASTING}","steps":[{{"count":{LASTING_TASKS},"cpu":100,"memMb":10,"longRunning":true}}]}}"#
