Store the starts without an answer with each row that records a start

As another task of the job ended, the row was written again, and all answered runs of the job counted as unanswered: after a takeover their tasks waited 13.4 s instead of 5.3 s on workers that cannot be reached.

The row of starts is now part of every write that records one, and names all that have no answer at that moment, so revisions are not compared. With more than 128 of them none counts as answered.

--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -60,10 +60,6 @@
 /// Most messages that are handled before the next write is started.
 const MAX_BURST: usize = 128;
 
-/// Shortest time between two writes with the starts that had no answer. A successor waits longer for the
-/// runs of starts that were recorded since the last one.
-const STARTS_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Most ended jobs whose states one write removes.
 const MAX_EXPIRED: usize = 16;
 
@@ -101,8 +97,6 @@
     write_in_flight: bool,
     /// Time at which the write in flight was sent.
     write_sent_at: Time,
-    /// When the starts without an answer were last added to a write.
-    starts_stored: Time,
     write_count: u64,
     /// Whether leases could be extended at the last tick.
     may_extend: bool,
@@ -206,7 +200,6 @@
             load_stats: LoadStats::default(),
             write_in_flight: false,
             write_sent_at: Time::ZERO,
-            starts_stored: Time::ZERO,
             write_count: 0,
             may_extend: true,
             dividing: false,
@@ -560,24 +553,20 @@
         compio::runtime::spawn(write).detach();
     }
 
-    /// Adds the starts without an answer to a write, if they changed and were not stored just before.
+    /// Adds the starts without an answer to a write, which may record some.
     fn add_starts(&mut self, content: &mut WriteContent) {
-        let now = clock::now();
-        if content.room() == 0 || now.saturating_sub(self.starts_stored) < STARTS_INTERVAL {
-            return;
-        }
-        let Some(row) = self.batch.take_starts(self.term.revision.get()) else {
+        let Some(row) = self.batch.take_starts() else {
             return;
         };
         match serde_json::to_vec(&row) {
             Ok(value) => {
                 let key = keys::starts(self.term.partition);
                 content.extra_rows.push((key, value));
-                self.starts_stored = now;
             }
+            // A start must not be recorded without this row.
             Err(error) => {
-                warn!(self.shared.log, "role: starts without an answer cannot be encoded";
-                    "error" => %error);
+                let reason = format!("starts without an answer cannot be encoded: {error}");
+                self.lost_reason = Some(reason);
             }
         }
     }
--- a/crates/daemon/src/site/role/restore.rs
+++ b/crates/daemon/src/site/role/restore.rs
@@ -160,7 +160,6 @@
                     let written_by = self.shared.revisions.borrow().written_by(item.revision);
                     let stored = StoredProgress {
                         row,
-                        revision: item.revision,
                         written_by: written_by.unwrap_or(now),
                     };
                     progress.insert(item.key, stored);
@@ -254,7 +253,7 @@
         match serde_json::from_slice::<StartsRow>(&item.value) {
             Ok(row) => {
                 info!(self.shared.log, "role: starts without an answer restored from the store";
-                    "partition" => self.term.partition, "revision" => row.revision,
+                    "partition" => self.term.partition, "complete" => row.complete,
                     "starts" => row.unanswered.len());
                 self.batch.restore_starts(row);
             }
--- a/crates/daemon/src/site/writer.rs
+++ b/crates/daemon/src/site/writer.rs
@@ -33,18 +33,23 @@
 /// Entries that every write needs: the condition on the chain key and its new value.
 const CHAIN_ENTRIES: usize = 2;
 
+/// Entries for the starts without an answer, which are added last.
+const STARTS_ENTRIES: usize = 1;
+
 /// Most entries that one job needs: its last write stores the state and removes the other keys.
 const MAX_JOB_ENTRIES: usize = 4;
 
 /// Most rows other than those of jobs in one write.
-pub(super) const MAX_EXTRA_ROWS: usize = 18;
+pub(super) const MAX_EXTRA_ROWS: usize = 17;
 
 /// Most keys of cancellations without effect that one write removes.
 pub(super) const MAX_REMOVES: usize = 8;
 
 // Each write has room for a job, so that no amount of other rows holds up the jobs.
-const _: () =
-    assert!(CHAIN_ENTRIES + MAX_EXTRA_ROWS + MAX_REMOVES + MAX_JOB_ENTRIES <= MAX_COMMIT_ENTRIES);
+const _: () = assert!(
+    CHAIN_ENTRIES + STARTS_ENTRIES + MAX_EXTRA_ROWS + MAX_REMOVES + MAX_JOB_ENTRIES
+        <= MAX_COMMIT_ENTRIES
+);
 
 /// Executes a write, retrying it until its outcome is known, and reports the outcome to the role.
 pub(super) async fn write(
@@ -105,7 +110,7 @@
     pub(super) fn room(&self) -> usize {
         let jobs: usize = self.writes.iter().map(entry_count).sum();
         let removes = self.expired.len() + self.removes.len();
-        let used = CHAIN_ENTRIES + self.extra_rows.len() + removes + jobs;
+        let used = CHAIN_ENTRIES + STARTS_ENTRIES + self.extra_rows.len() + removes + jobs;
         MAX_COMMIT_ENTRIES.saturating_sub(used)
     }
 
--- a/crates/wigeonhinge/src/batch/job.rs
+++ b/crates/wigeonhinge/src/batch/job.rs
@@ -16,7 +16,6 @@
 use crate::batch::Write;
 use crate::batch::ready::Rank;
 use crate::batch::ready::Urgency;
-use crate::batch::starts::StoredStart;
 use crate::batch::task::Status;
 use crate::batch::task::Task;
 use crate::batch::worker::StopReason;
@@ -304,20 +303,17 @@
             .record_arrival(&row, now.saturating_sub(age), now);
         let queue = self.catalog.queue(&row.queue).cloned();
         let mut job = Job::new(row, queue.as_ref());
-        let stored = progress.map(|progress| {
+        let written_by = progress.map(|progress| {
             job.apply_progress(progress.row);
-            StoredStart {
-                revision: progress.revision,
-                written_by: progress.written_by,
-            }
+            progress.written_by
         });
         if job.row.job.repeat > 0 {
             self.repeated_jobs.insert(id.clone());
         }
         self.late_checks.insert((self.wall_ms(now), id.clone()));
         self.jobs.insert(id.clone(), job);
-        if let Some(stored) = stored {
-            self.adopt_runs(&id, &stored, now);
+        if let Some(written_by) = written_by {
+            self.adopt_runs(&id, written_by, now);
         }
         self.adopt_fates(&id, now);
         self.enqueue(&id, now);
--- a/crates/wigeonhinge/src/batch/place.rs
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -123,12 +123,13 @@
             };
         }
         if let Some(entry) = self.workers.get_mut(worker) {
-            let run = RunState {
+            let run_state = RunState {
                 suspicion,
                 ..RunState::new(run, &step, Stage::Reserved, now)
             };
-            entry.insert(task.clone(), run);
+            entry.insert(task.clone(), run_state);
         }
+        self.start_unanswered(task.clone(), run);
     }
 
     /// Returns the best worker with capacity for a task, besides the gang members in `chosen`.
--- a/crates/wigeonhinge/src/batch/runs.rs
+++ b/crates/wigeonhinge/src/batch/runs.rs
@@ -10,7 +10,6 @@
 use crate::batch::WorkerEntry;
 use crate::batch::WorkerId;
 use crate::batch::contact::predecessor_lease;
-use crate::batch::starts::StoredStart;
 use crate::batch::task::Status;
 use crate::batch::task::Task;
 use crate::batch::worker::RunState;
@@ -43,7 +42,7 @@
     ///
     /// A worker that is not registered is added as unregistered and removed once its lease has
     /// expired.
-    pub(super) fn adopt_runs(&mut self, id: &JobId, stored: &StoredStart, now: Time) {
+    pub(super) fn adopt_runs(&mut self, id: &JobId, written_by: Time, now: Time) {
         let Some(job) = self.jobs.get(id) else {
             return;
         };
@@ -58,7 +57,7 @@
             };
             let run = RunState {
                 suspicion: state.start_suspicion(step),
-                recorded_by: self.recorded_by(stored, &task, state.run),
+                recorded_by: self.recorded_by(written_by, &task, state.run),
                 ..RunState::new(state.run, step, Stage::Starting, now)
             };
             if !self.workers.contains_key(name) {
@@ -114,8 +113,6 @@
                         run.recorded_by = Some(now);
                         run.progressed_at = now;
                     }
-                    self.unanswered_starts.insert(name.clone(), task.run);
-                    self.starts_changed = true;
                     self.actions.push(Action::Start {
                         worker,
                         task: name,
--- a/crates/wigeonhinge/src/batch/starts.rs
+++ b/crates/wigeonhinge/src/batch/starts.rs
@@ -16,17 +16,16 @@
 use crate::batch::Run;
 use crate::batch::TaskId;
 use crate::batch::worker::Stage;
-use crate::id::Revision;
 use crate::id::Time;
 
-/// Most starts that a row names; while there are more, the last row stays, which is older but true.
+/// Most starts that a row names, which are 4 KB; with more, none counts as answered.
 const MAX_LISTED: usize = 128;
 
-/// Stored row of the starts that had no answer when it was written.
+/// Stored row of the starts without an answer, written with each row that records a start.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StartsRow {
-    /// Revision of the store up to which all starts that were recorded are answered, but these.
-    pub revision: Revision,
+    /// Whether all of them are named.
+    pub complete: bool,
     /// Tasks whose starts are not answered, each with its run.
     pub unanswered: BTreeMap<CompactString, Run>,
 }
@@ -36,16 +35,14 @@
 pub struct StoredProgress {
     /// Progress of its tasks.
     pub row: ProgressRow,
-    /// Revision at which the row was written.
-    pub revision: Revision,
-    /// A time by which that was.
+    /// A time by which the row was written.
     pub written_by: Time,
 }
 
 impl StartsRow {
-    /// Returns whether a start is known to be answered that a row of this revision records.
-    fn is_answered(&self, revision: Revision, task: &TaskId, run: Run) -> bool {
-        revision <= self.revision && self.unanswered.get(&task.to_compact_string()) != Some(&run)
+    /// Returns whether a recorded start is known to be answered.
+    fn is_answered(&self, task: &TaskId, run: Run) -> bool {
+        self.complete && self.unanswered.get(&task.to_compact_string()) != Some(&run)
     }
 }
 
@@ -56,9 +53,8 @@
         self.predecessor_starts = row;
     }
 
-    /// Returns the row of the starts without an answer to store next, if it has to change. The store
-    /// holds the starts that were sent so far at a revision.
-    pub fn take_starts(&mut self, revision: Revision) -> Option<StartsRow> {
+    /// Returns the row of the starts without an answer, if the next write has to contain it.
+    pub fn take_starts(&mut self) -> Option<StartsRow> {
         if !self.starts_changed {
             return None;
         }
@@ -67,48 +63,37 @@
             let state = jobs.get(&task.job).and_then(|job| job.task(task));
             let worker = state.and_then(|it| workers.get(it.worker()?));
             let state = worker.and_then(|it| it.runs.get(task));
-            state.is_some_and(|it| it.run == *run && it.is_unanswered())
+            let state = state.filter(|it| it.run == *run);
+            state.is_some_and(|it| it.stage == Stage::Reserved || it.is_unanswered())
         });
-        if self.unanswered_starts.len() > MAX_LISTED {
-            return None;
-        }
-        // Those that are left are answered later.
-        self.starts_changed = !self.unanswered_starts.is_empty();
         let listed = self.unanswered_starts.iter();
         let unanswered = listed.map(|(task, run)| (task.to_compact_string(), *run));
+        let complete = self.unanswered_starts.len() <= MAX_LISTED;
+        // Those that are left are answered later, and some may be recorded later.
+        self.starts_changed = !self.unanswered_starts.is_empty();
         Some(StartsRow {
-            revision,
-            unanswered: unanswered.collect(),
+            complete,
+            unanswered: match complete {
+                true => unanswered.collect(),
+                false => BTreeMap::new(),
+            },
         })
     }
 
-    /// Records that a start was sent, or may have been sent by a predecessor, and has no answer.
+    /// Records that a start is about to be recorded and sent, or may have been sent by a predecessor, and
+    /// has no answer.
     pub(super) fn start_unanswered(&mut self, task: TaskId, run: Run) {
         self.unanswered_starts.insert(task, run);
         self.starts_changed = true;
     }
 
     /// Returns the time by which a predecessor's start was recorded, or `None` if it was answered.
-    pub(super) fn recorded_by(
-        &self,
-        stored: &StoredStart,
-        task: &TaskId,
-        run: Run,
-    ) -> Option<Time> {
-        let answered = self
-            .predecessor_starts
-            .is_answered(stored.revision, task, run);
-        (!answered).then_some(stored.written_by)
+    pub(super) fn recorded_by(&self, written_by: Time, task: &TaskId, run: Run) -> Option<Time> {
+        let answered = self.predecessor_starts.is_answered(task, run);
+        (!answered).then_some(written_by)
     }
 }
 
-/// When the row that records a predecessor's starts was written.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct StoredStart {
-    pub(super) revision: Revision,
-    pub(super) written_by: Time,
-}
-
 impl super::worker::RunState {
     /// Returns whether its start was sent and the worker is not known to have had it.
     pub(super) fn is_unanswered(&self) -> bool {
--- a/crates/wigeonhinge/tests/support/cluster.rs
+++ b/crates/wigeonhinge/tests/support/cluster.rs
@@ -64,8 +64,6 @@
     pub entries: Vec<WorkerEntry>,
     pub jobs: BTreeMap<String, JobRow>,
     pub progress: BTreeMap<String, StoredProgress>,
-    /// Revision of the store.
-    pub revision: u64,
     /// Starts without an answer in the store.
     pub starts_row: StartsRow,
     /// Phases of the jobs in the store.
@@ -186,7 +184,6 @@
             entries: entries.clone(),
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
-            revision: 1,
             starts_row: StartsRow::default(),
             states: BTreeMap::new(),
             actions: Vec::new(),
@@ -246,7 +243,6 @@
     pub fn store_writes(&mut self) {
         while let Some(write) = self.batch.take_write() {
             self.store_starts();
-            self.revision += 1;
             let id = write.job.to_string();
             if let Some(state) = &write.state {
                 self.states.insert(id.clone(), state.phase);
@@ -255,7 +251,6 @@
                 Some(row) => {
                     let progress = StoredProgress {
                         row,
-                        revision: self.revision,
                         written_by: self.now,
                     };
                     self.progress.insert(id, progress)
@@ -269,7 +264,7 @@
 
     /// Stores the starts without an answer, as a holder does with its next write.
     fn store_starts(&mut self) {
-        if let Some(row) = self.batch.take_starts(self.revision) {
+        if let Some(row) = self.batch.take_starts() {
             self.starts_row = row;
         }
     }
