Move workers, lose the store and strike twice in the series of restarts

The series restarted workers at their addresses only, with the same silence twice, and left the store alone.

A restarted worker may come back behind another proxy, and its registry entry names the new address; the former address reaches it until it is cut off, or no more. The store may be down, answer writes late or lose answers around a restart, and the next role holder may be struck as well. A worker that is down no longer writes its registry entry. The trace names the time of day, and the logs of entries that were replaced are kept.

--- a/crates/daemon/tests/restart_series.rs
+++ b/crates/daemon/tests/restart_series.rs
@@ -1,5 +1,6 @@
-//! Workers that start again under their identifiers at any moment, whose next incarnations carry out
-//! calls that were meant for the former ones, beside cuts and the loss of role holders; seeded.
+//! Workers that start again under their identifiers at any moment, some at other addresses, whose next
+//! incarnations carry out calls that were meant for the former ones, beside cuts, faults of the store and
+//! the loss of role holders; seeded.
 //!
 //! CI plays two seeds. `RESTART_SEEDS=1-50 RESTART_AT_ONCE=4 cargo test --release -p wigeonhinged --test
 //! restart_series -- --nocapture by_hand` plays more, some at once.
--- a/crates/daemon/tests/restart_series/play.rs
+++ b/crates/daemon/tests/restart_series/play.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -20,12 +21,14 @@
 use crate::plan;
 use crate::plan::Action;
 use crate::plan::ENTRIES;
+use crate::plan::Outage;
 use crate::plan::Strike;
 use crate::plan::WORKERS;
 use crate::site::Call;
 use crate::site::Site;
 use crate::site::lock;
 use crate::site::proxy::Mode;
+use crate::site::proxy::Proxy;
 use crate::site::worker::LASTING;
 use crate::site::worker::TIMED;
 
@@ -53,8 +56,12 @@
     let site = Site::spawn(WORKERS);
     let entries = (0..ENTRIES).map(|index| Entry::spawn(site.store, &format!("e{index}")));
     let entries: Mutex<Vec<Entry>> = Mutex::new(entries.collect());
+    let mut links: Vec<Vec<Proxy>> = site.proxies.iter().map(|it| vec![it.clone()]).collect();
     wait("an entry holds the role", || holder(&site).is_some());
     lock(&entries).iter().for_each(Entry::wait_ready);
+    // Logs name the time of day.
+    let time = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    site.oracle.trace(format!("unix time {time:?}"));
     let (jobs_over, over) = (AtomicBool::new(false), AtomicBool::new(false));
     let accepted = thread::scope(|scope| {
         scope.spawn(|| {
@@ -75,7 +82,7 @@
                 submit_lasting(&site, &entries);
             }
             thread::sleep(at.saturating_sub(started.elapsed()));
-            act(&site, &entries, *action, &mut random);
+            act(&site, &entries, &mut links, *action, &mut random);
         }
         thread::sleep(LAST_JOBS);
         jobs_over.store(true, Ordering::SeqCst);
@@ -119,14 +126,48 @@
     Some(row["entry"].as_str()?.to_owned())
 }
 
-fn act(site: &Site, entries: &Mutex<Vec<Entry>>, action: Action, random: &mut Pcg64) {
+/// Carries out an action; `links` are the proxies of each worker, the last one at its present address.
+fn act(
+    site: &Site,
+    entries: &Mutex<Vec<Entry>>,
+    links: &mut [Vec<Proxy>],
+    action: Action,
+    random: &mut Pcg64,
+) {
     site.oracle.trace(format!("{action:?}"));
     match action {
         Action::Crash(index) => site.workers[index].crash(),
         Action::Revive(index) => drop(site.workers[index].revive()),
-        Action::Register(index) => site.register(index, None, site.workers[index].born()),
-        Action::Cut(index) => site.proxies[index].set_mode(Mode::Hold),
-        Action::Heal(index) => site.proxies[index].set_mode(Mode::Pass),
+        // A worker that is down writes nothing.
+        Action::Register(index) if site.workers[index].is_dark() => {}
+        Action::Register(index) => {
+            let link = links[index].last().expect("a link");
+            let born = site.workers[index].born();
+            site.register(index, Some(link.address), born);
+        }
+        Action::Move { index, forwards } => {
+            if !forwards {
+                links[index].iter().for_each(|it| it.set_mode(Mode::Hold));
+            }
+            links[index].push(Proxy::spawn(site.servers[index]));
+        }
+        Action::Cut(index) => links[index].iter().for_each(|it| it.set_mode(Mode::Hold)),
+        Action::Heal(index) => {
+            let link = links[index].last().expect("a link");
+            link.set_mode(Mode::Pass);
+        }
+        Action::Store(outage) => {
+            let (down, slow, lost) = match outage {
+                None => (false, 0, 0),
+                Some(Outage::Down) => (true, 0, 0),
+                Some(Outage::Slow(millis)) => (false, millis, 0),
+                Some(Outage::Lost(count)) => (false, 0, count),
+            };
+            let faults = &site.faults;
+            faults.down.store(down, Ordering::SeqCst);
+            faults.slow_commits_ms.store(slow, Ordering::SeqCst);
+            faults.lost_responses.store(lost, Ordering::SeqCst);
+        }
         Action::Late(share) => {
             for worker in &site.workers {
                 let mut random = Pcg64::seed_from_u64(random.random());
@@ -152,10 +193,14 @@
         }
         Action::StartEntries => {
             let mut entries = lock(entries);
-            for (index, entry) in entries.iter_mut().enumerate() {
+            for index in 0..ENTRIES {
+                let entry = &mut entries[index];
                 send(entry, Signal::CONT);
                 if !matches!(entry.child.try_wait(), Ok(None)) {
-                    *entry = Entry::spawn(site.store, &format!("e{index}"));
+                    let next = Entry::spawn(site.store, &format!("e{index}"));
+                    // Ended entries stay at the end of the list, for their logs.
+                    let ended = std::mem::replace(entry, next);
+                    entries.push(ended);
                 }
             }
         }
