--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -21,6 +21,11 @@
 GANG_S = 3.0
 HEARTBEAT_S = 1.5
 PAGE_ITEMS = 500
+# Runs whose beginnings and ends are recorded one by one.
+LISTED_RUNS = 1_000
+# Settings `valueBytes` and `checkpointS` in DEPLOY.md.
+VALUE_BYTES = 1_048_576
+CHECKPOINT_S = 0.5
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict", 410: "Gone",
            412: "Precondition Failed", 421: "Misdirected Request", 503: "Service Unavailable"}
 
@@ -101,6 +106,10 @@
         self.changed = asyncio.Condition()
         # Entries whose calls are refused with 503.
         self.refused = set()
+        # Longest value that was to be written, in bytes.
+        self.longest_value = 0
+        # Writes that were refused for the length of a value.
+        self.too_long = 0
         # Entry that last wrote under a condition.
         self.last_writer = None
 
@@ -117,10 +126,13 @@
 
     def put(self, key, value, lease=0):
         created = self.items[key]["created"] if key in self.items else self.revision
-        item = {"key": key, "value": base64.b64encode(value).decode(), "revision": self.revision,
+        if isinstance(value, bytes):
+            value = base64.b64encode(value).decode()
+        item = {"key": key, "value": value, "revision": self.revision,
                 "created": created, "lease": lease}
         self.items[key] = item
         self.history.append((self.revision, key, item))
+        del self.history[:-20_000]
 
     def remove(self, key):
         if self.items.pop(key, None) is not None:
@@ -216,9 +228,15 @@
         writes = body.get("writes") or []
         if any(row.get("lease", 0) and row["lease"] not in self.leases for row in writes):
             return 404, {}
+        # A value has at most `valueBytes`; base64 has four characters for three bytes.
+        longest = max((len(row["value"]) * 3 // 4 for row in writes), default=0)
+        self.longest_value = max(self.longest_value, longest)
+        if longest > VALUE_BYTES:
+            self.too_long += 1
+            return 400, {"reason": "a value is longer than valueBytes"}
         self.revision += 1
         for row in writes:
-            self.put(row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
+            self.put(row["key"], row["value"], row.get("lease", 0))
         for key in body.get("remove") or []:
             self.remove(key)
         await self.notify()
@@ -241,8 +259,9 @@
 class Minion:
     """One life of a machine."""
 
-    def __init__(self, site, name, machine, rack):
+    def __init__(self, site, name, machine, rack, service="crews", kind="a"):
         self.site, self.name, self.machine, self.rack = site, name, machine, rack
+        self.service, self.kind = service, kind
         self.born = int(time.time() * 1e3)
         self.began = time.monotonic()
         self.server = Server(self.handle)
@@ -281,10 +300,10 @@
         while True:
             seq += 1
             await self.site.store.write("servers/" + self.name, {
-                "service": "crews", "address": self.server.address, "zone": "a", "version": "v1",
+                "service": self.service, "address": self.server.address, "zone": "a", "version": "v1",
                 "slots": 8, "state": "ready", "coldRemainingMs": 0, "machine": self.machine,
                 "capacity": {"cpu": self.site.cpu, "memMb": 64_000, "gpu": 0},
-                "labels": ["a", self.rack], "clockMs": self.clock(), "born": self.born, "seq": seq})
+                "labels": [self.kind, self.rack], "clockMs": self.clock(), "born": self.born, "seq": seq})
             await asyncio.sleep(HEARTBEAT_S)
 
     async def work(self):
@@ -387,7 +406,8 @@
                     await asyncio.wait_for(self.ended.wait(), limit - time.monotonic())
             except asyncio.TimeoutError:
                 pass
-        running = [[run.task, run.run, "", run.percent(), run.size] for run in self.runs.values()]
+        running = [[run.task, run.run, self.site.checkpoint(run), run.percent(), run.size]
+                   for run in self.runs.values()]
         return 200, self.answer(running=running, finished=self.ends[:500])
 
 
@@ -399,6 +419,8 @@
         self.store = Store()
         self.cloud = Server(self.machines)
         self.cpu = cpu
+        # Limits of an entry, `cpuShare` and `linkMbps`.
+        self.cores, self.link_mbps = 0.25, 1000.0
         self.minions = {}
         self.jobs = {}
         self.entries = []
@@ -407,33 +429,48 @@
 
     async def machines(self, method, target, headers, body):
         if not target.startswith("/wigeonhinge/machines"):
-            return 409, {"reason": "busy"}
-        rows = [{"machine": it.machine, "pool": "crews", "state": "up" if it.up else "down",
-                 "zone": "a", "labels": ["a", it.rack], "id": it.name,
+            # The services of a play have machines of different kinds, so that none can move.
+            self.record.add(f"machine service refuses {target.split('/')[-1]} {body.decode()}: 400")
+            return 400, {}
+        rows = [{"machine": it.machine, "pool": it.service, "state": "up" if it.up else "down",
+                 "zone": "a", "labels": [it.kind, it.rack], "id": it.name,
                  "capacity": {"cpu": self.cpu, "memMb": 64_000, "gpu": 0}}
                 for it in self.minions.values()]
         return 200, {"machines": rows, "nextToken": None}
 
-    async def start(self, racks, entries=2):
-        """Starts the store, a minion in each rack named, and the entries."""
+    def route(self, number, prefix, service):
+        return {"name": f"r{number}", "host": "crews.example", "prefix": prefix, "kind": "unsafe",
+                "timeoutMs": 3000, "sloMs": 600, "priority": 0, "service": service,
+                "maxAttempts": 3, "stretchFactor": 1.6}
+
+    async def start(self, racks, entries=2, more=()):
+        """Starts the store, a minion in each rack named, and the entries.
+
+        `more` are the racks of the minions of a second service, of another kind.
+        """
         await self.cloud.start()
         asyncio.create_task(self.store.expire())
+        services = {"crews": "/jobs/"}
+        if more:
+            services["engineering"] = "/plans/"
         await self.store.write("op/config", {
             "version": 1,
-            "routes": [{"name": "r1", "host": "crews.example", "prefix": "/jobs/", "kind": "unsafe",
-                        "timeoutMs": 3000, "sloMs": 600, "priority": 0, "service": "crews",
-                        "maxAttempts": 3, "stretchFactor": 1.6}],
-            "services": [{"name": "crews", "enforcesCapacity": True, "standby": False}],
+            "routes": [self.route(index + 1, services[name], name)
+                       for index, name in enumerate(services)],
+            "services": [{"name": name, "enforcesCapacity": True, "standby": False}
+                         for name in services],
             "limits": {"maxBodyBytes": 262_144}})
         for index, rack in enumerate(racks):
-            await self.add_minion(f"m-{index}", rack, f"i-{index}-1")
+            await self.add_minion(f"m-{index}", rack, f"i-{0x7f3a91c2 + index:08x}")
+        for index, rack in enumerate(more):
+            await self.add_minion(f"e-{index}", rack, f"i-{0x2c417b30 + index:08x}", "engineering", "b")
         for index in range(entries):
             await self.start_entry(f"edge-{index}")
         for entry in self.entries:
             await self.wait_ready(entry)
 
-    async def add_minion(self, machine, rack, name):
-        minion = Minion(self, name, machine, rack)
+    async def add_minion(self, machine, rack, name, service="crews", kind="a"):
+        minion = Minion(self, name, machine, rack, service, kind)
         await minion.start()
         self.minions[machine] = minion
         self.record.add(f"minion {name} of machine {machine} starts")
@@ -452,8 +489,8 @@
         settings = {
             "entry": name, "zone": "a", "callers": callers, "readiness": readiness,
             "metrics": metrics, "store": store,
-            "machines": self.cloud.address, "machine_orders": 64.0, "cores": 0.25,
-            "link_mbps": 1000.0, "memory_mb": 260, "descriptors": 4100,
+            "machines": self.cloud.address, "machine_orders": 64.0, "cores": self.cores,
+            "link_mbps": self.link_mbps, "memory_mb": 260, "descriptors": 4100,
             "bounds": {"lease_ms": HOLD_MAX_MS, "retention_secs": 120, "migrate_secs": 1.5,
                        "maintenance_secs": 2, "order_lease_ms": 3000, "notice_ms": 4500,
                        "shortest_lease_ms": 1000}}
@@ -486,7 +523,7 @@
         for entry in self.entries:
             with open(os.path.join(self.folder.name, entry["name"] + ".log")) as file:
                 for line in file:
-                    if any(word in line for word in ("given up", "stands still", "ended as", "crash")):
+                    if any(word in line for word in ("given up", "stands still", "ended as", "crash", "partitions:")):
                         text = json.loads(line).get("msg", "") if line.startswith("{") else line
                         self.record.file.write(f"log of {entry['name']}: {text.strip()}\n")
         self.record.file.close()
@@ -502,6 +539,10 @@
         """The time that a task works, in seconds; the spec of these jobs says it."""
         return float(spec.split("=")[1])
 
+    def checkpoint(self, run):
+        """Returns the newest checkpoint of a run; empty for none."""
+        return ""
+
     def members(self, run):
         """Returns the other members of a run's gang that are there, with their minions."""
         job, _, step, _ = run.task.split(".")
@@ -530,13 +571,19 @@
         self.runs.append({"task": run.task, "run": run.run, "minion": minion.name,
                           "from": self.record.now(), "to": None, "how": None,
                           "observed": None})
-        self.record.add(f"{minion.name} begins {run.task} run {run.run}")
+        self.list_run(f"{minion.name} begins {run.task} run {run.run}")
+        if len(self.runs) == LISTED_RUNS:
+            self.record.add(f"{LISTED_RUNS} runs began; further ones aren't listed one by one")
 
     def run_ended(self, minion, run, how):
         for row in self.runs:
             if (row["task"], row["run"], row["minion"]) == (run.task, run.run, minion.name):
                 row["to"], row["how"] = self.record.now(), how
-        self.record.add(f"{minion.name} ends {run.task} run {run.run}: {how}")
+        self.list_run(f"{minion.name} ends {run.task} run {run.run}: {how}")
+
+    def list_run(self, text):
+        if len(self.runs) <= LISTED_RUNS:
+            self.record.add(text)
 
     def observed(self, minion, end):
         """The system has taken note of an end."""
@@ -544,13 +591,13 @@
         for row in self.runs:
             if (row["task"], row["run"], row["minion"]) == (task, run, minion.name):
                 row["observed"] = self.record.now()
-        self.record.add(f"{minion.name}: the end of {task} run {run} ({how}) is taken note of")
+        self.list_run(f"{minion.name}: the end of {task} run {run} ({how}) is taken note of")
 
-    async def submit(self, number, spec, steps, entry=0):
+    async def submit(self, number, spec, steps, entry=0, prefix="/jobs/"):
         job = f"{number:016x}"
         self.jobs[job] = {"spec": spec, "steps": steps}
         for _ in range(4):
-            answer = await request(self.entries[entry]["callers"], "POST", "/jobs/" + job,
+            answer = await request(self.entries[entry]["callers"], "POST", prefix + job,
                                    self.jobs[job])
             self.record.add(f"client submits {job}: {answer}")
             if answer and answer[0] == 200:
@@ -558,6 +605,11 @@
             await asyncio.sleep(0.2)
         raise RuntimeError("a job isn't accepted")
 
+    async def cancel(self, job, entry=0):
+        answer = await request(self.entries[entry]["callers"], "DELETE", "/jobs/" + job)
+        self.record.add(f"client cancels {job}: {answer}")
+        return answer[0] if answer else None
+
     async def state(self, job, entry=0):
         answer = await request(self.entries[entry]["callers"], "GET", "/jobs/" + job)
         return answer[1].get("state") if answer and answer[0] == 200 else None
