--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A job with very many small tasks, and a job of one task after it."""
+"""A fleet grows, so that it is divided; jobs of a service with a single rack follow."""
 import asyncio
 import os
 import sys
@@ -7,43 +7,47 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standin-3"))
 import standin  # noqa: E402
 
-# Tasks of the first job with and without the disruption.
-MANY, FEW = 50_000, 5_000
-WORK_S = 1.0
-BEFORE_S = 15.0
+# A rack has four minions. The fleet grows by a quarter.
+RACKS, NEW_RACKS = 16, 4
+# Time for the entries to follow the growth.
+DIVISION_S = 25.0
+JOBS = 12
 # From RULES.md, LOST, and the settings in DEPLOY.md.
 FINISH_S = 14
 NOTHING_RUNS_S = 3
 
 
+async def grow(site):
+    site.record.add(f"DISRUPTION: {4 * NEW_RACKS} empty minions are added")
+    for index in range(4 * NEW_RACKS):
+        await site.add_minion(f"n-{index}", f"n{index // 4}", f"i-{0x51d0e644 + index:08x}")
+
+
 async def main(site, trouble):
-    await site.start([f"r{index}" for index in range(8)])
-    count = MANY if trouble else FEW
-    large = await site.submit(1, f"work={WORK_S}", [
-        {"count": count, "cpu": 1, "memMb": 1, "estimateMs": 1000 * WORK_S}])
-    begun = site.record.now()
-    while site.record.now() < begun + BEFORE_S:
-        await asyncio.sleep(1)
-        done = sum(row["how"] == "done" for row in site.runs)
-        site.record.add(f"job {large}: {len(site.runs)} runs began, {done} are done; longest value "
-                        f"written or refused {site.store.longest_value} bytes, "
-                        f"{site.store.too_long} writes refused")
-        if not trouble and await site.state(large) == "completed":
-            break
-    small = await site.submit(2, "work=1", [{"count": 1, "cpu": 100, "memMb": 1, "estimateMs": 1000}])
-    accepted = site.record.now()
-    state = None
-    while site.record.now() < accepted + FINISH_S + 2 * NOTHING_RUNS_S and state != "completed":
+    # As in the small days of a grown deployment: `cpuShare` 0.12, `linkMbps` 2.
+    site.cores, site.link_mbps = 0.12, 2.0
+    await site.start([f"r{index // 4}" for index in range(4 * RACKS)], entries=3,
+                     more=["e0"] * 4)
+    await asyncio.sleep(3)
+    if trouble:
+        await grow(site)
+    await asyncio.sleep(DIVISION_S)
+    jobs = []
+    for number in range(JOBS):
+        jobs.append(await site.submit(0x40 + number, "work=0.5", [
+            {"count": 2, "cpu": 500, "memMb": 100, "estimateMs": 500}], prefix="/plans/"))
+    end = site.record.now() + FINISH_S + 2 * NOTHING_RUNS_S
+    states = {}
+    while site.record.now() < end:
         await asyncio.sleep(0.5)
-        state = await site.state(small)
-    began = [row for row in site.runs if row["task"].startswith(small)]
-    site.record.add(f"job {large} is {await site.state(large)}, job {small} is {state}, "
-                    f"{len(began)} runs of it; {site.store.too_long} writes refused")
-    if began:
-        return []
-    used = sum(minion.used for minion in site.minions.values())
-    return [f"LOST: job {small}, accepted at {accepted:.1f} s, has had nothing running until "
-            f"{site.record.now():.1f} s; {used} of {8 * site.cpu} millicores are in use"]
+        states = {job: await site.state(job) for job in jobs}
+        if set(states.values()) == {"completed"}:
+            break
+    site.record.add(f"states: {states}")
+    idle = [job for job in jobs if not any(row["task"].startswith(job) for row in site.runs)]
+    used = sum(it.used for it in site.minions.values() if it.service == "engineering")
+    return [f"LOST: job {job} has had nothing running for {FINISH_S + 2 * NOTHING_RUNS_S} s; {used} of "
+            f"{4 * site.cpu} millicores of its service are in use" for job in idle]
 
 
 standin.play(FOLDER, main)
