--- a/review/13/case.py
+++ b/review/13/case.py
@@ -9,6 +9,8 @@
 
 # A rack has four minions. The fleet grows by a quarter.
 RACKS, NEW_RACKS = 16, 4
+# `gap_s` of `scale_out` in the site file is 2.0.
+GROWTH_S = 2.5
 # Time for the entries to follow the growth.
 DIVISION_S = 25.0
 JOBS = 12
@@ -20,12 +22,13 @@
 async def grow(site):
     site.record.add(f"DISRUPTION: {4 * NEW_RACKS} empty minions are added")
     for index in range(4 * NEW_RACKS):
+        await asyncio.sleep(GROWTH_S / (4 * NEW_RACKS))
         await site.add_minion(f"n-{index}", f"n{index // 4}", f"i-{0x51d0e644 + index:08x}")
 
 
 async def main(site, trouble):
-    # As in the small days of a grown deployment: `cpuShare` 0.12, `linkMbps` 2.
-    site.cores, site.link_mbps = 0.12, 2.0
+    # As in the small days of a grown deployment: `cpuShare` 0.12, `linkMbps` 2, `memoryMb` 160.
+    site.cores, site.link_mbps, site.memory_mb = 0.12, 2.0, 160
     await site.start([f"r{index // 4}" for index in range(4 * RACKS)], entries=3,
                      more=["e0"] * 4)
     await asyncio.sleep(3)
@@ -46,6 +49,8 @@
     site.record.add(f"states: {states}")
     idle = [job for job in jobs if not any(row["task"].startswith(job) for row in site.runs)]
     used = sum(it.used for it in site.minions.values() if it.service == "engineering")
+    if used >= 4 * site.cpu / 2:
+        return []
     return [f"LOST: job {job} has had nothing running for {FINISH_S + 2 * NOTHING_RUNS_S} s; {used} of "
             f"{4 * site.cpu} millicores of its service are in use" for job in idle]
 
--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -20,7 +20,9 @@
 STOP_S = 0.02
 GANG_S = 3.0
 HEARTBEAT_S = 1.5
+# A page of a range has at most about 500 items or 1 MB.
 PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 # Runs whose beginnings and ends are recorded one by one.
 LISTED_RUNS = 1_000
 # Settings `valueBytes` and `checkpointS` in DEPLOY.md.
@@ -181,8 +183,13 @@
         if name == "kv-range":
             prefix, after = query.get("prefix", ""), query.get("after", "")
             keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
-            items = [self.items[key] for key in keys[:PAGE_ITEMS]]
-            return 200, {"items": items, "truncated": len(keys) > PAGE_ITEMS, "asOf": self.revision}
+            items, size = [], 0
+            for key in keys[:PAGE_ITEMS]:
+                size += len(self.items[key]["value"]) * 3 // 4
+                if items and size > PAGE_BYTES:
+                    break
+                items.append(self.items[key])
+            return 200, {"items": items, "truncated": len(keys) > len(items), "asOf": self.revision}
         if name == "kv-watch":
             return await self.watch(query)
         if name == "kv-txn":
@@ -276,6 +283,7 @@
         self.ended = asyncio.Condition()
         self.tasks = []
         self.used = 0
+        self.last_beat = 0.0
 
     def clock(self):
         return int((time.monotonic() - self.began) * 1e3)
@@ -291,6 +299,7 @@
         self.server.stop()
         for task in self.tasks:
             task.cancel()
+        asyncio.create_task(self.expire())
         runs, self.runs = self.runs, {}
         for run in runs.values():
             self.site.run_ended(self, run, "crashed")
@@ -305,8 +314,15 @@
                 "slots": 8, "state": "ready", "coldRemainingMs": 0, "machine": self.machine,
                 "capacity": {"cpu": self.site.cpu, "memMb": 64_000, "gpu": 0},
                 "labels": [self.kind, self.rack], "clockMs": self.clock(), "born": self.born, "seq": seq})
+            self.last_beat = time.monotonic()
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def expire(self):
+        """The store removes the entry after three heartbeat intervals of silence."""
+        await asyncio.sleep(max(0.0, self.last_beat + 3 * HEARTBEAT_S - time.monotonic()))
+        await self.site.store.delete("servers/" + self.name)
+        self.site.record.add(f"the store removes the entry of {self.name}")
+
     async def work(self):
         """Ends runs that are done, and all runs when the lease ends."""
         while True:
@@ -420,8 +436,8 @@
         self.store = Store()
         self.cloud = Server(self.machines)
         self.cpu = cpu
-        # Limits of an entry, `cpuShare` and `linkMbps`.
-        self.cores, self.link_mbps = 0.25, 1000.0
+        # Limits of an entry, `cpuShare`, `linkMbps` and `memoryMb`.
+        self.cores, self.link_mbps, self.memory_mb = 0.25, 1000.0, 260
         self.minions = {}
         self.jobs = {}
         self.entries = []
@@ -491,7 +507,7 @@
             "entry": name, "zone": "a", "callers": callers, "readiness": readiness,
             "metrics": metrics, "store": store,
             "machines": self.cloud.address, "machine_orders": 64.0, "cores": self.cores,
-            "link_mbps": self.link_mbps, "memory_mb": 260, "descriptors": 4100,
+            "link_mbps": self.link_mbps, "memory_mb": self.memory_mb, "descriptors": 4100,
             "bounds": {"lease_ms": HOLD_MAX_MS, "retention_secs": 120, "migrate_secs": 1.5,
                        "maintenance_secs": 2, "order_lease_ms": 3000, "notice_ms": 4500,
                        "shortest_lease_ms": 1000}}
