Acknowledge ends only after the store holds the end of their job

Callers saw a gang run twice: while the store turned the holder away, the ends of two members were acknowledged at once, their workers forgot them, the worker of the third one crashed, and the next holder started the gang again.

Cause: the first end completes the job in memory. For the ends that follow, apply_end found no open job, or a task that was done already, and returned None, so that they were acknowledged while the rows waited for the store. The same held for other tasks of a job that failed in memory, and for ends that a worker lists again after the holder had forgotten it.

Fix: jobs keep the version of their newest stored row, and the holder keeps the versions of final rows until these are stored.

--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -204,6 +204,8 @@
     open_orders: BTreeMap<VmId, Time>,
     /// Final rows of ended jobs that are not written yet.
     final_writes: VecDeque<Write>,
+    /// Ended jobs whose final rows the store does not hold yet, with the versions of these rows.
+    unstored_jobs: BTreeMap<JobId, u64>,
     /// Workers that reported finished runs of a job whose results are not stored yet.
     unstored_ends: BTreeMap<JobId, BTreeSet<WorkerId>>,
     /// Ended jobs with the time until which their state is kept.
@@ -257,6 +259,7 @@
             blocked_until: BTreeMap::new(),
             open_orders: BTreeMap::new(),
             final_writes: VecDeque::new(),
+            unstored_jobs: BTreeMap::new(),
             unstored_ends: BTreeMap::new(),
             ended_jobs: BTreeMap::new(),
             ended_order: BTreeSet::new(),
@@ -387,6 +390,7 @@
     pub fn confirm_writes(&mut self, writes: &[Write], now: Time) -> Vec<Action> {
         let mut changed = BTreeSet::new();
         for write in writes {
+            self.record_stored(&write.job, write.version);
             self.send_recorded_starts(&write.job, write.version, now);
             let Some(workers) = self.unstored_ends.remove(&write.job) else {
                 continue;
@@ -408,6 +412,16 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Records that the store holds the rows of a job with this version.
+    fn record_stored(&mut self, id: &JobId, version: u64) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.stored_version = job.stored_version.max(version);
+        }
+        if self.unstored_jobs.get(id).is_some_and(|it| *it <= version) {
+            self.unstored_jobs.remove(id);
+        }
+    }
+
     /// Returns the workers with runs whose leases have ended, as far as extensions are known.
     ///
     /// The next tick takes their runs as lost. Extensions that were sent since then are to be
--- a/crates/wigeonhinge/src/batch/job.rs
+++ b/crates/wigeonhinge/src/batch/job.rs
@@ -55,6 +55,8 @@
     /// Whether a progress row was taken for writing.
     progress_stored: bool,
     pub(super) version: u64,
+    /// Version of the newest row that the store holds.
+    pub(super) stored_version: u64,
     /// Whether the job is in `Batch::changed_jobs`.
     pub(super) write_queued: bool,
     /// Whether it was logged that the job waits for the cap of its workspace.
@@ -97,6 +99,7 @@
             stored_phase: Phase::Pending,
             progress_stored: false,
             version: 0,
+            stored_version: 0,
             write_queued: false,
             cap_logged: false,
         };
@@ -111,6 +114,11 @@
         job
     }
 
+    /// Returns the current version if the store does not hold it.
+    pub(super) fn unstored_version(&self) -> Option<u64> {
+        (self.version > self.stored_version).then_some(self.version)
+    }
+
     /// Returns whether the settings of a queue change the pool or the ranks of the tasks.
     fn reranks(&self, queue: &Queue) -> bool {
         self.pool != queue.pool
@@ -540,6 +548,7 @@
             progress: None,
             progress_stored: job.progress_stored,
         });
+        self.unstored_jobs.insert(id.clone(), version);
         self.keep_ended(id.clone(), now);
         version
     }
--- a/crates/wigeonhinge/src/batch/report.rs
+++ b/crates/wigeonhinge/src/batch/report.rs
@@ -240,7 +240,7 @@
     }
 
     /// Applies a finished run to its task; returns the version of the job that includes the result,
-    /// or `None` if the result changes nothing.
+    /// or `None` if the store needs no further row for it.
     fn apply_end(
         &mut self,
         id: &WorkerId,
@@ -249,15 +249,20 @@
         now: Time,
     ) -> Option<u64> {
         let task = &ended.task;
-        let job = self.jobs.get_mut(&task.job)?;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            // Until the store holds the end of the job, a successor starts its tasks again.
+            return self.unstored_jobs.get(&task.job).copied();
+        };
         job.begun = true;
         let step = job.step(task.step)?.clone();
         let queue = job.row.queue.clone();
         let pool = job.pool.clone();
         let attempts = job.max_attempts;
+        let unstored = job.unstored_version();
         let state = job.task_mut(task)?;
         if state.done() {
-            return None;
+            // Another run, or another member of the gang, may have ended just before.
+            return unstored;
         }
         let current = state.run == ended.run && state.worker() == Some(id);
         let elsewhere = state.worker().filter(|_| !current).cloned();
