Keep racks until the results from there are stored

A rack passed to another partition once no run was left on its workers. A write takes the rows of racks before those of jobs, so the rack could have its new owner before the last results were stored. The new owner acknowledges ends of jobs that it does not know; if the former owner is lost then, its successor starts the task again.

Read in the code, not seen in a run. rack_idle_after_stored_ends failed before.

--- a/crates/wigeonhinge/src/batch/racks.rs
+++ b/crates/wigeonhinge/src/batch/racks.rs
@@ -14,9 +14,10 @@
 
 impl Batch {
     /// Returns which of some racks can pass to another partition: no run may exist on their workers,
-    /// no order to their machines is open or recent, and no maintenance wave is active.
+    /// all results from there are stored, no order to their machines is open or recent, and no
+    /// maintenance wave is active.
     ///
-    /// The next owner may then give orders at once. One pass over workers and machines answers for
+    /// The next owner may then give orders at once, and acknowledges ends of jobs that it does not know. One pass over workers and machines answers for
     /// all racks: at 3,000 workers a pass for each rack blocks the holder for longer than its lease.
     pub fn idle_racks(&self, racks: &BTreeSet<RackId>, now: Time) -> BTreeSet<RackId> {
         if self.maintenance.active() {
@@ -25,7 +26,7 @@
         let rest = self.bounds.order_lease + REST_SLACK;
         let mut idle = racks.clone();
         for worker in self.workers.values() {
-            if !worker.runs.is_empty() || worker.has_unknown_runs {
+            if !worker.runs.is_empty() || worker.has_unknown_runs || worker.has_unstored_ends() {
                 idle.remove(&worker.entry.rack);
             }
         }
--- a/crates/wigeonhinge/src/batch/worker.rs
+++ b/crates/wigeonhinge/src/batch/worker.rs
@@ -381,6 +381,11 @@
         self.unstored_ends.insert(number, (job, version));
     }
 
+    /// Returns whether the results of some finished runs are not stored yet.
+    pub(super) fn has_unstored_ends(&self) -> bool {
+        !self.unstored_ends.is_empty()
+    }
+
     /// Removes the finished runs of a job whose results are stored with this version; returns
     /// whether others of the job are left.
     pub(super) fn ends_stored(&mut self, job: &JobId, version: u64) -> bool {
--- a/crates/wigeonhinge/tests/batch_racks.rs
+++ b/crates/wigeonhinge/tests/batch_racks.rs
@@ -78,6 +78,20 @@
     assert!(rack_idle(&cluster));
 }
 
+/// Guards against a second run of a task that is done: the next owner of its worker's rack acknowledges
+/// the end, as it does not know the job, and the store does not hold the result yet.
+#[test]
+fn rack_idle_after_stored_ends() {
+    let mut cluster = Cluster::new(&TWO);
+    cluster.submit(job("j", vec![step(1)]));
+    cluster.advance(SECOND);
+    cluster.end_run("j.0.0.0", End::Done);
+    cluster.poll_workers();
+    assert!(!rack_idle(&cluster), "the result is not stored");
+    cluster.store_writes();
+    assert!(rack_idle(&cluster));
+}
+
 /// Guards against orders of two partitions to one machine in turns: a rack rests before it is given.
 #[rstest]
 #[case::answered(Some(0))]
