Transfer jobs that no worker of their partition can run

Callers saw jobs that were accepted and never ran, while workers of their pool were empty: with two partitions and a pool with a single rack, seven of twelve.

Cause: an entry chose the partition of a new job by its racks, whatever their pools, and nothing changed the partition of an accepted job. The choice alone would not be enough: the last worker of a pool may be lost, drain or move later, and a configuration may give a queue another pool. Labels and large tasks are the same case.

Fix: a holder passes a job of which nothing runs, and which none of its workers could run for 2 s, to a partition whose workers can. One write on the condition of the chain key stores the job with its progress under the new partition and removes the old rows, so that it has one holder at any time. The row counts the transfers, which tells an older row of it apart. A cancellation that was stored for the old partition is forwarded. The holder publishes pools that it lacks, and entries choose other partitions for their jobs.

--- a/crates/cli/src/measure/batch.rs
+++ b/crates/cli/src/measure/batch.rs
@@ -210,6 +210,7 @@
                 ..JobSpec::default()
             },
             workspace: "".into(),
+            transfer: None,
         };
         let began = Instant::now();
         self.batch.apply(Event::Accept(row), self.now);
--- a/crates/daemon/src/site/control.rs
+++ b/crates/daemon/src/site/control.rs
@@ -1,11 +1,13 @@
 //! Local copy of the rows that every entry follows: holders of partitions, racks and wave plans.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use wigeonhinge::id::EntryId;
+use wigeonhinge::id::PoolId;
 use wigeonhinge::id::ZoneId;
 use wigeonhinge::partition::Holder;
 use wigeonhinge::partition::Partition;
@@ -33,6 +35,12 @@
     pub(crate) settled: bool,
 }
 
+/// Stored row of the pools that have no worker in a partition.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub(crate) struct AbsentRow {
+    pub(crate) pools: BTreeSet<PoolId>,
+}
+
 /// Rows that every entry follows.
 #[derive(Debug, Default)]
 pub(crate) struct Control {
@@ -103,6 +111,10 @@
                 self.topology
                     .set_rack(rack.into(), Some((row, item.revision)));
             }
+        } else if let Some(partition) = number(key, keys::ABSENT) {
+            if let Some(AbsentRow { pools }) = self.decode(item) {
+                self.topology.set_absent(partition, pools);
+            }
         } else if let Some((wave, partition)) = wave_part(key) {
             if let Some(row) = self.decode(item) {
                 self.parts.insert((wave, partition), row);
@@ -126,6 +138,8 @@
             self.topology.set_layout(None);
         } else if let Some(rack) = key.strip_prefix(keys::RACKS) {
             self.topology.set_rack(rack.into(), None);
+        } else if let Some(partition) = number(key, keys::ABSENT) {
+            self.topology.set_absent(partition, BTreeSet::new());
         } else if let Some(part) = wave_part(key) {
             self.parts.remove(&part);
         } else if let Some(wave) = number::<u64>(key, keys::WAVE_PLANS) {
--- a/crates/daemon/src/site/front.rs
+++ b/crates/daemon/src/site/front.rs
@@ -453,7 +453,10 @@
     if shared.known_jobs.borrow().phase(id).is_some() {
         return Reply::new(StatusCode::OK, "{}");
     }
-    let partition = shared.control.borrow().topology.choose(id, &job.steps);
+    let partition = {
+        let topology = &shared.control.borrow().topology;
+        topology.choose(id, &queue.pool, &job.steps)
+    };
     let row = JobRow {
         id: id.into(),
         partition,
@@ -462,6 +465,7 @@
         accepted_ms: clock::wall_ms(),
         job,
         workspace,
+        transfer: None,
     };
     let state = StateRow {
         phase: Phase::Pending,
--- a/crates/daemon/src/site/keys.rs
+++ b/crates/daemon/src/site/keys.rs
@@ -21,6 +21,9 @@
 /// Prefix of the racks that were given to a partition.
 pub(super) const RACKS: &str = "wigeonhinge/rack/";
 
+/// Prefix of the pools that have no worker in a partition.
+pub(super) const ABSENT: &str = "wigeonhinge/absent/";
+
 /// Prefix of the plans of waves and of the parts that partitions completed.
 pub(super) const WAVE_PLANS: &str = "wigeonhinge/wave/";
 
@@ -49,6 +52,10 @@
     format!("{RACKS}{rack}")
 }
 
+pub(super) fn absent(partition: Partition) -> String {
+    format!("{ABSENT}{partition}")
+}
+
 /// Returns the prefix of the accepted jobs and the cancellations of a partition.
 pub(super) fn inputs(partition: Partition) -> String {
     format!("wigeonhinge-in/{partition}/")
--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -6,9 +6,11 @@
 mod registry;
 mod restore;
 mod status;
+mod transfers;
 mod waves;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,6 +29,7 @@
 use wigeonhinge::batch::OrderLog;
 use wigeonhinge::batch::WorkerEntry;
 use wigeonhinge::batch::WorkerId;
+use wigeonhinge::id::PoolId;
 use wigeonhinge::id::VmId;
 use wigeonhinge::partition::Ownership;
 use wigeonhinge_platform::machines;
@@ -58,6 +61,9 @@
 /// Ticks between two updates of the status that operators see.
 const STATUS_TICKS: u64 = 20;
 
+/// Ticks between two searches for jobs that no worker of the partition can run, 200 ms.
+const TRANSFER_TICKS: u64 = 4;
+
 /// Most messages that are handled before the next write is started.
 const MAX_BURST: usize = 128;
 
@@ -103,6 +109,8 @@
     may_extend: bool,
     /// Whether racks are being given or recorded, some at a time.
     dividing: bool,
+    /// Pools without a worker here, for which jobs were accepted nevertheless.
+    absent_pools: BTreeSet<PoolId>,
     catalog_version: u64,
     /// Number of partitions and version of the configuration by which caps were divided last.
     divided_caps: (u32, u64),
@@ -206,6 +214,7 @@
             write_count: 0,
             may_extend: true,
             dividing: false,
+            absent_pools: BTreeSet::new(),
             catalog_version: version,
             divided_caps: (1, 0),
             control_version: 0,
@@ -333,6 +342,8 @@
         if let Some(id) = name.strip_prefix(keys::CANCEL) {
             if self.batch.has_job(id) {
                 self.apply(Event::Cancel(id.into()));
+            } else if self.shared.control.borrow().topology.partitions() > 1 {
+                self.forward_cancel(id.into());
             } else {
                 // The job ended before its cancellation was read.
                 self.removes.push(item.key.clone());
@@ -379,9 +390,13 @@
             self.divide();
             self.spread();
             self.advance_plans();
+            self.publish_absent_pools();
         } else {
             self.continue_division();
         }
+        if self.ticks.is_multiple_of(TRANSFER_TICKS) {
+            self.transfer_jobs();
+        }
         let now = clock::now();
         let (heard, expected) = self.batch.count_responsive(now);
         let reachable = heard * 2 > expected;
--- a/crates/daemon/src/site/writer.rs
+++ b/crates/daemon/src/site/writer.rs
@@ -10,6 +10,7 @@
 use flume::Sender;
 use slog::warn;
 use wigeonhinge::batch::Phase;
+use wigeonhinge::batch::StateRow;
 use wigeonhinge::batch::Write;
 use wigeonhinge::partition::Partition;
 use wigeonhinge_platform::store::Commit;
@@ -36,7 +37,8 @@
 /// Entries for the starts without an answer, which are added last.
 const STARTS_ENTRIES: usize = 1;
 
-/// Most entries that one job needs: its last write stores the state and removes the other keys.
+/// Most entries that one job needs: its last write stores the state and removes the other keys, or
+/// stores the job for another partition as well and removes two keys.
 const MAX_JOB_ENTRIES: usize = 4;
 
 /// Most rows other than those of jobs in one write.
@@ -131,13 +133,18 @@
 fn entry_count(write: &Write) -> usize {
     let rows = usize::from(write.state.is_some()) + usize::from(write.progress.is_some());
     let ended = write.state.as_ref().is_some_and(|it| it.phase.terminal());
-    rows + if ended { MAX_JOB_ENTRIES - 1 } else { 0 }
+    match ended || write.transfer.is_some() {
+        true => MAX_JOB_ENTRIES,
+        false => rows,
+    }
 }
 
-/// Returns the keys to remove with a job's write: those of an ended job other than its state.
+/// Returns the keys to remove with a job's write: those of an ended job other than its state, and
+/// those of a job that passes to another partition.
 fn removed_keys(partition: Partition, write: &Write) -> Vec<String> {
     let mut keys = Vec::new();
-    if let Some(state) = write.state.as_ref().filter(|row| row.phase.terminal()) {
+    let last = |row: &&StateRow| row.phase.terminal() || write.transfer.is_some();
+    if let Some(state) = write.state.as_ref().filter(last) {
         keys.push(keys::job(partition, &write.job));
         if write.progress_stored {
             keys.push(keys::progress(partition, &write.job));
@@ -166,6 +173,10 @@
             let key = keys::progress(partition, &write.job);
             commit.writes.push((key, rows::encode(progress)?, 0));
         }
+        if let Some(row) = &write.transfer {
+            let key = keys::job(row.partition, &write.job);
+            commit.writes.push((key, rows::encode(row)?, 0));
+        }
         commit.removes.extend(removed_keys(partition, write));
     }
     for (key, value) in &content.extra_rows {
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -41,6 +41,7 @@
 mod spec;
 mod starts;
 mod task;
+mod transfer;
 mod worker;
 mod workers;
 
@@ -99,6 +100,7 @@
 pub use crate::batch::row::ProgressRow;
 pub use crate::batch::row::StateRow;
 pub use crate::batch::row::TaskRow;
+pub use crate::batch::row::TransferRow;
 pub use crate::batch::spec::JobSpec;
 pub use crate::batch::spec::Size;
 pub use crate::batch::spec::Step;
@@ -204,7 +206,12 @@
     open_orders: BTreeMap<VmId, Time>,
     /// Final rows of ended jobs that are not written yet.
     final_writes: VecDeque<Write>,
-    /// Ended jobs whose final rows the store does not hold yet, with the versions of these rows.
+    /// Jobs that passed to other partitions: the number of their transfers then, and the time until
+    /// which an older row is known by it.
+    left_jobs: BTreeMap<JobId, (u32, Time)>,
+    /// Where the last search for jobs that no worker can run ended in each ready queue.
+    searched: BTreeMap<PoolId, Rank>,
+    /// Jobs that ended or left whose last rows the store does not hold yet, with their versions.
     unstored_jobs: BTreeMap<JobId, u64>,
     /// Workers that reported finished runs of a job whose results are not stored yet.
     unstored_ends: BTreeMap<JobId, BTreeSet<WorkerId>>,
@@ -259,6 +266,8 @@
             blocked_until: BTreeMap::new(),
             open_orders: BTreeMap::new(),
             final_writes: VecDeque::new(),
+            left_jobs: BTreeMap::new(),
+            searched: BTreeMap::new(),
             unstored_jobs: BTreeMap::new(),
             unstored_ends: BTreeMap::new(),
             ended_jobs: BTreeMap::new(),
--- a/crates/wigeonhinge/src/batch/event.rs
+++ b/crates/wigeonhinge/src/batch/event.rs
@@ -191,6 +191,9 @@
     pub progress: Option<ProgressRow>,
     /// Whether the store may hold a progress row of the job.
     pub progress_stored: bool,
+    /// Row with which the job passes to another partition, if it does; this one's rows of the job
+    /// are removed.
+    pub transfer: Option<Box<JobRow>>,
 }
 
 /// Workers and load of a pool.
--- a/crates/wigeonhinge/src/batch/job.rs
+++ b/crates/wigeonhinge/src/batch/job.rs
@@ -13,6 +13,7 @@
 use crate::batch::StoredProgress;
 use crate::batch::TaskId;
 use crate::batch::TaskRow;
+use crate::batch::TransferRow;
 use crate::batch::Write;
 use crate::batch::ready::Rank;
 use crate::batch::ready::Urgency;
@@ -22,6 +23,7 @@
 use crate::id::JobId;
 use crate::id::PoolId;
 use crate::id::Time;
+use crate::partition::Partition;
 
 /// Maximum attempts for jobs of a queue that the configuration no longer contains.
 const DEFAULT_ATTEMPTS: u32 = 3;
@@ -61,6 +63,8 @@
     pub(super) write_queued: bool,
     /// Whether it was logged that the job waits for the cap of its workspace.
     pub(super) cap_logged: bool,
+    /// Since when no worker of the partition can run its ready tasks; see `transfer`.
+    pub(super) stranded_since: Option<Time>,
 }
 
 /// Execution of all steps of a job; a repeated job has several.
@@ -102,6 +106,7 @@
             stored_version: 0,
             write_queued: false,
             cap_logged: false,
+            stranded_since: None,
         };
         if let Some(queue) = queue {
             job.apply_queue(queue);
@@ -162,6 +167,16 @@
         step.tasks.get_mut(id.index as usize)
     }
 
+    /// Returns the steps that have tasks to be done.
+    pub(super) fn open_steps(&self) -> impl Iterator<Item = &Step> {
+        let steps = self.row.job.steps.iter().enumerate();
+        let open = steps.filter(|(index, _)| {
+            let tasks = |occurrence: &Occurrence| occurrence.steps[*index].complete();
+            !self.occurrences.values().all(tasks)
+        });
+        open.map(|(_, step)| step)
+    }
+
     fn complete(&self) -> bool {
         let done = |occurrence: &Occurrence| occurrence.steps.iter().all(StepTasks::complete);
         self.occurrences.values().all(done)
@@ -195,6 +210,25 @@
             state: (before != self.phase).then(|| self.state(None)),
             progress: Some(self.progress()),
             progress_stored: true,
+            transfer: None,
+        }
+    }
+
+    /// Returns the rows with which the job, of which nothing runs, passes to another partition.
+    pub(super) fn into_transfer(mut self, to: Partition, count: u32) -> Write {
+        let progress = self.progress();
+        self.row.partition = to;
+        Write {
+            job: self.row.id.clone(),
+            version: self.version,
+            state: Some(self.state(None)),
+            progress: None,
+            progress_stored: self.progress_stored,
+            transfer: Some(Box::new(JobRow {
+                pool: self.pool,
+                transfer: Some(TransferRow { count, progress }),
+                ..self.row
+            })),
         }
     }
 
@@ -309,11 +343,17 @@
 }
 
 impl Batch {
-    pub(super) fn accept(&mut self, row: JobRow, progress: Option<StoredProgress>, now: Time) {
+    pub(super) fn accept(&mut self, mut row: JobRow, progress: Option<StoredProgress>, now: Time) {
         let id = row.id.clone();
-        if self.jobs.contains_key(&id) || self.ended_jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.ended_jobs.contains_key(&id) || self.has_left(&row) {
             return;
         }
+        let brought = row.transfer.as_mut().map(|it| StoredProgress {
+            row: std::mem::take(&mut it.progress),
+            written_by: now,
+        });
+        // A row of this partition is newer than what came with the job.
+        let progress = progress.or(brought);
         let age = self.wall_ms(now).saturating_sub(row.accepted_ms);
         let age = Duration::from_millis(u64::try_from(age).unwrap_or(0));
         self.demand
@@ -521,17 +561,23 @@
         }
     }
 
+    /// Removes a job from the open ones, with its tasks that wait.
+    pub(super) fn remove_job(&mut self, id: &JobId) -> Option<Job> {
+        self.dequeue_job(id);
+        let job = self.jobs.remove(id)?;
+        self.repeated_jobs.remove(id);
+        self.reservations.retain(|task, _| task.job != *id);
+        self.backfill.release_job(&job.pool, id);
+        Some(job)
+    }
+
     /// Ends a job: stops its runs and queues its final row for writing.
     pub(super) fn finish(&mut self, id: &JobId, phase: Phase, now: Time) -> u64 {
         let version = self.bump_version(id);
-        self.dequeue_job(id);
-        let Some(mut job) = self.jobs.remove(id) else {
+        let Some(mut job) = self.remove_job(id) else {
             return version;
         };
         job.phase = phase;
-        self.repeated_jobs.remove(id);
-        self.reservations.retain(|task, _| task.job != *id);
-        self.backfill.release_job(&job.pool, id);
         let age = self.wall_ms(now) - job.row.accepted_ms;
         self.log(format!(
             "jobs: job {id} ended as {phase:?}, {age} ms after it was accepted"
@@ -547,6 +593,7 @@
             state: Some(job.state(Some(self.wall_ms(now)))),
             progress: None,
             progress_stored: job.progress_stored,
+            transfer: None,
         });
         self.unstored_jobs.insert(id.clone(), version);
         self.keep_ended(id.clone(), now);
--- a/crates/wigeonhinge/src/batch/row.rs
+++ b/crates/wigeonhinge/src/batch/row.rs
@@ -30,9 +30,21 @@
     pub accepted_ms: i64,
     /// Steps and timing as the caller requested them.
     pub job: JobSpec,
-    /// Workspace that submitted the job; empty for none. It is the last field, as rows of earlier
-    /// versions of the codec lack it.
+    /// Workspace that submitted the job; empty for none. Rows of the first versions of the codec lack
+    /// it and all later fields.
     pub workspace: WorkspaceId,
+    /// What came with the job from another partition; `None` if it is in the one that accepted it. It
+    /// is the last field, as rows of earlier versions of the codec lack it.
+    pub transfer: Option<TransferRow>,
+}
+
+/// Transfer of a job from another partition, part of its row there.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct TransferRow {
+    /// Number of transfers of the job so far, from 1.
+    pub count: u32,
+    /// Progress of its tasks when it was transferred; none of them had a run.
+    pub progress: ProgressRow,
 }
 
 /// Lifecycle state of a job.
--- a/crates/wigeonhinge/src/partition.rs
+++ b/crates/wigeonhinge/src/partition.rs
@@ -6,7 +6,8 @@
 //! - A rack changes its owner only by a write of the owner, while nothing runs on it and no order to
 //!   one of its machines is recent. The revision of that write is the lowest fence of the new owner.
 //! - The number of partitions never falls. A partition without racks gets no new jobs.
-//! - A job stays in the partition for which it was accepted.
+//! - A job changes its partition only by a write of the holder, while nothing of it runs: it stays in
+//!   the one for which it was accepted unless no worker there can run it.
 
 mod caps;
 mod claim;
@@ -27,6 +28,7 @@
 use crate::batch::Step;
 use crate::id::EntryId;
 use crate::id::Fence;
+use crate::id::PoolId;
 use crate::id::RackId;
 use crate::id::ZoneId;
 
@@ -92,7 +94,7 @@
 /// let row = RackRow { partition: 1, labels: Default::default() };
 /// topology.set_rack("r1".into(), Some((row, 17)));
 /// assert_eq!(topology.owner("r1"), (1, 17));
-/// assert_eq!(topology.choose("5c0e7a21d94b36f8", &[]), 1);
+/// assert_eq!(topology.choose("5c0e7a21d94b36f8", "crews", &[]), 1);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Topology {
@@ -100,6 +102,8 @@
     /// Racks with a row, and the revision of the row.
     racks: BTreeMap<RackId, (RackRow, Fence)>,
     holders: BTreeMap<Partition, Holder>,
+    /// Pools that have no worker in a partition, by partition.
+    absent: BTreeMap<Partition, BTreeSet<PoolId>>,
 }
 
 impl Topology {
@@ -124,6 +128,16 @@
         };
     }
 
+    /// Applies the pools for whose jobs a partition has no worker.
+    pub fn set_absent(&mut self, partition: Partition, pools: BTreeSet<PoolId>) {
+        self.absent.insert(partition, pools);
+    }
+
+    /// Returns the pools for whose jobs a partition has no worker.
+    pub fn absent(&self, partition: Partition) -> BTreeSet<PoolId> {
+        self.absent.get(&partition).cloned().unwrap_or_default()
+    }
+
     /// Returns the number of partitions.
     pub fn partitions(&self) -> u32 {
         self.layout.map_or(1, |row| row.partitions.max(1))
@@ -154,11 +168,18 @@
         }
     }
 
-    /// Returns the partition for a new job: each gets a share of the jobs by its racks, of those
-    /// near the job's data or with the label that the job requires if there are any.
-    pub fn choose(&self, job: &str, steps: &[Step]) -> Partition {
+    /// Returns the partition for a new job of a pool: each gets a share of the jobs by its racks, of
+    /// those near the job's data or with the label that the job requires if there are any. One without
+    /// workers of the pool gets none while another has some.
+    pub fn choose(&self, job: &str, pool: &str, steps: &[Step]) -> Partition {
+        let has_pool = |row: &RackRow| {
+            let absent = self.absent.get(&row.partition);
+            !absent.is_some_and(|pools| pools.contains(pool))
+        };
+        let nowhere = !self.racks.values().any(|(row, _)| has_pool(row));
+        let serves = |row: &RackRow| nowhere || has_pool(row);
         let near = steps.iter().find_map(|step| self.racks.get(&step.affinity));
-        if let Some((row, _)) = near {
+        if let Some((row, _)) = near.filter(|(row, _)| serves(row)) {
             return row.partition;
         }
         let fits = |row: &RackRow| {
@@ -167,18 +188,21 @@
         };
         let owners = |fitting: bool| -> Vec<Partition> {
             let rows = self.racks.values().map(|(row, _)| row);
-            let rows = rows.filter(|row| !fitting || fits(row));
+            let rows = rows.filter(|row| serves(row) && (!fitting || fits(row)));
             rows.map(|row| row.partition).collect()
         };
         let mut candidates = owners(true);
         if candidates.is_empty() {
             candidates = owners(false);
         }
-        if candidates.is_empty() {
-            return FIRST;
-        }
-        let mut hasher = DefaultHasher::new();
-        job.hash(&mut hasher);
-        candidates[(hasher.finish() % candidates.len() as u64) as usize]
+        pick(job, &candidates).unwrap_or(FIRST)
     }
 }
+
+/// Returns one of several partitions, the same one for a job each time.
+pub fn pick(job: &str, partitions: &[Partition]) -> Option<Partition> {
+    let mut hasher = DefaultHasher::new();
+    job.hash(&mut hasher);
+    let index = hasher.finish().checked_rem(partitions.len() as u64)?;
+    partitions.get(index as usize).copied()
+}
--- a/crates/wigeonhinge/tests/partition.rs
+++ b/crates/wigeonhinge/tests/partition.rs
@@ -189,7 +189,7 @@
     topology.set_layout(Some(LayoutRow { partitions: 3 }));
     let mut counts = [0; 3];
     for job in 0..3_000 {
-        counts[topology.choose(&format!("{job:016x}"), &[]) as usize] += 1;
+        counts[topology.choose(&format!("{job:016x}"), "crews", &[]) as usize] += 1;
     }
     assert_eq!(counts[2], 0);
     let share = f64::from(counts[0]) / 3_000.0;
@@ -208,12 +208,38 @@
     ]);
     for job in 0..100 {
         assert_eq!(
-            topology.choose(&format!("{job:x}"), std::slice::from_ref(&step)),
+            topology.choose(&format!("{job:x}"), "crews", std::slice::from_ref(&step)),
             expected
         );
     }
 }
 
+/// Guards against jobs that are accepted for a partition that has no worker of their pool: it gets none
+/// while another partition has some, and its share if all lack them.
+#[rstest]
+#[case::plain(Step::default())]
+#[case::label(Step { requires: "big".into(), ..Step::default() })]
+#[case::rack(Step { affinity: "r1".into(), ..Step::default() })]
+fn choose_where_pool_is(#[case] step: Step) {
+    let mut topology = topology(&[("r0", 0, &["small"]), ("r1", 1, &["big"])]);
+    let counts = |topology: &Topology, pool: &str| {
+        let mut counts = [0; 2];
+        for job in 0..100 {
+            let steps = std::slice::from_ref(&step);
+            counts[topology.choose(&format!("{job:x}"), pool, steps) as usize] += 1;
+        }
+        counts
+    };
+    let before = counts(&topology, "crews");
+    topology.set_absent(1, BTreeSet::from(["crews".into()]));
+    assert_eq!(counts(&topology, "crews"), [100, 0]);
+    assert_eq!(counts(&topology, "other"), before);
+    topology.set_absent(0, BTreeSet::from(["crews".into()]));
+    assert_eq!(counts(&topology, "crews"), before);
+    topology.set_absent(1, BTreeSet::new());
+    assert_eq!(counts(&topology, "crews"), [0, 100]);
+}
+
 /// A partition without a holder goes to a large entry that holds none, before a small one and long
 /// before one that holds another partition.
 #[test]
--- a/crates/wigeonhinge/tests/support/cluster.rs
+++ b/crates/wigeonhinge/tests/support/cluster.rs
@@ -69,6 +69,8 @@
     /// Phases of the jobs in the store.
     pub states: BTreeMap<String, Phase>,
     pub actions: Vec<Action>,
+    /// Rows of jobs that were stored for other partitions.
+    pub transferred: Vec<JobRow>,
     /// Whether the actions of the holder are executed at once; if not, they are only recorded.
     pub auto_execute: bool,
     /// Configuration with which a successor begins.
@@ -152,6 +154,7 @@
             ..JobSpec::default()
         },
         workspace: "".into(),
+        transfer: None,
     }
 }
 
@@ -191,6 +194,7 @@
             starts_row: StartsRow::default(),
             states: BTreeMap::new(),
             actions: Vec::new(),
+            transferred: Vec::new(),
             auto_execute: true,
             catalog: catalog(),
         };
@@ -268,6 +272,10 @@
                 }
                 None => self.progress.remove(&id),
             };
+            if let Some(row) = write.transfer.as_deref() {
+                self.jobs.remove(row.id.as_str());
+                self.transferred.push(row.clone());
+            }
             let actions = self.batch.confirm_writes(&[write], self.now);
             self.execute(actions);
         }
--- a/crates/wigeonhinge/tests/support/load.rs
+++ b/crates/wigeonhinge/tests/support/load.rs
@@ -365,6 +365,7 @@
                 ..JobSpec::default()
             },
             workspace: "".into(),
+            transfer: None,
         };
         self.handle(Event::Accept(row));
     }
