Choose other partitions for pools that have been absent for 5 s

The holder now also lists pools of queues that have had no worker for 5 s and have one elsewhere. A move or the maintenance of a machine takes less. The test jobs_avoid_partition_without_pool failed before.

--- a/crates/daemon/src/site/role.rs
+++ b/crates/daemon/src/site/role.rs
@@ -109,8 +109,10 @@
     may_extend: bool,
     /// Whether racks are being given or recorded, some at a time.
     dividing: bool,
-    /// Pools without a worker here, for which jobs were accepted nevertheless.
+    /// Pools without a worker here for which entries should choose other partitions.
     absent_pools: BTreeSet<PoolId>,
+    /// Since when pools of queues have no worker here.
+    lacking_since: BTreeMap<PoolId, Time>,
     catalog_version: u64,
     /// Number of partitions and version of the configuration by which caps were divided last.
     divided_caps: (u32, u64),
@@ -215,6 +217,7 @@
             may_extend: true,
             dividing: false,
             absent_pools: BTreeSet::new(),
+            lacking_since: BTreeMap::new(),
             catalog_version: version,
             divided_caps: (1, 0),
             control_version: 0,
--- a/crates/daemon/src/site/role/transfers.rs
+++ b/crates/daemon/src/site/role/transfers.rs
@@ -1,14 +1,17 @@
 //! Jobs that pass to another partition, as no worker of this one can run them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use slog::info;
 use slog::warn;
+use wigeonhinge::Time;
 use wigeonhinge::batch::StateRow;
 use wigeonhinge::batch::WorkerEntry;
 use wigeonhinge::id::JobId;
+use wigeonhinge::id::PoolId;
 use wigeonhinge::partition::Partition;
 use wigeonhinge::partition::pick;
 use wigeonhinge_platform::store::Commit;
@@ -22,6 +25,10 @@
 use crate::site::role::Role;
 use crate::site::rows;
 
+/// Time for which a pool lacks a worker until entries choose other partitions for its jobs. A machine
+/// that moves to it or has its maintenance takes less.
+const ABSENCE_DELAY: Duration = Duration::from_secs(5);
+
 /// Time limit for a call that forwards a cancellation.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -69,14 +76,18 @@
 
     /// Tells entries for which pools they should choose other partitions.
     ///
-    /// These are pools that lacked a worker here for longer than a move of a machine takes, until one
+    /// These are pools that lack a worker here for longer than a move of a machine takes, until one
     /// comes.
     pub(super) fn publish_absent_pools(&mut self) {
+        if self.shared.control.borrow().topology.partitions() <= 1 {
+            return;
+        }
         let partition = self.term.partition;
         let published = self.shared.control.borrow().topology.absent(partition);
         let now = clock::now();
         let mut pools = std::mem::take(&mut self.absent_pools);
         pools.extend(published.iter().cloned());
+        pools.extend(self.find_absent_pools(now));
         pools.retain(|pool| !self.batch.has_pool(pool, now));
         self.absent_pools = pools.clone();
         if pools != published {
@@ -86,6 +97,27 @@
         }
     }
 
+    /// Returns the pools of queues that have had no worker here for some time, and have one elsewhere.
+    fn find_absent_pools(&mut self, now: Time) -> Vec<PoolId> {
+        let Some(catalog) = self.shared.catalog.borrow().clone() else {
+            return Vec::new();
+        };
+        let pools = catalog.queues().map(|queue| &queue.pool);
+        let lacking: BTreeSet<&PoolId> = pools
+            .filter(|pool| !self.batch.has_pool(pool, now))
+            .collect();
+        self.lacking_since.retain(|pool, _| lacking.contains(pool));
+        let mut absent = Vec::new();
+        for pool in lacking {
+            let since = *self.lacking_since.entry(pool.clone()).or_insert(now);
+            let mut others = self.registry.values();
+            if now.saturating_sub(since) >= ABSENCE_DELAY && others.any(|it| it.pool == *pool) {
+                absent.push(pool.clone());
+            }
+        }
+        absent
+    }
+
     /// Passes a cancellation on to the partition of its job, or removes it if the job has ended.
     pub(super) fn forward_cancel(&self, job: JobId) {
         let shared = Rc::clone(&self.shared);
--- a/crates/daemon/tests/transfers.rs
+++ b/crates/daemon/tests/transfers.rs
@@ -110,6 +110,24 @@
     assert_eq!(site.oracle.violations(), Vec::<String>::new());
 }
 
+/// Guards against jobs that wait for a transfer although the partition has lacked their pool all along.
+#[test]
+fn jobs_avoid_partition_without_pool() {
+    let (site, [first, second]) = divided();
+    wait("the entries know of the pool", || {
+        let row = site.value("wigeonhinge/absent/1").unwrap_or_default();
+        row.contains("crews")
+    });
+    thread::sleep(Duration::from_millis(200));
+    for index in 0..20 {
+        let id = format!("a{index:015x}");
+        site.oracle.submitted(&id, "short spec", &[2]);
+        submit(&second, &id, JOB);
+        assert!(!has_job(&site, 1, &id), "{id} is in the second partition");
+        first.wait_state(&id, "completed");
+    }
+}
+
 /// Guards against a cancellation that is lost: it was stored for the partition that the job leaves.
 #[test]
 fn cancellation_follows_job() {
