--- a/crates/wigeonhinge/src/batch/transfer.rs
+++ b/crates/wigeonhinge/src/batch/transfer.rs
@@ -105,7 +105,8 @@
                         true => job.stranded_since = None,
                         false => {
                             let since = *job.stranded_since.get_or_insert(now);
-                            if now.saturating_sub(since) >= TRANSFER_DELAY {
+                            let waited = now.saturating_sub(since) >= TRANSFER_DELAY;
+                            if waited && !stranded.contains(&task.job) {
                                 stranded.push(task.job.clone());
                             }
                         }
@@ -119,7 +120,6 @@
             self.searched
                 .extend(at.map(|rank: Rank| (pool.clone(), rank)));
         }
-        stranded.dedup();
         stranded.retain(|job| !self.has_runs(job) && self.is_movable(job));
         stranded
     }
--- a/crates/wigeonhinge/tests/batch_transfers.rs
+++ b/crates/wigeonhinge/tests/batch_transfers.rs
@@ -153,6 +153,23 @@
     assert_eq!(second.states["j"], Phase::Completed);
 }
 
+/// Guards against a transfer while a machine moves to the pool, because the job had waited for one
+/// before its last run.
+#[test]
+fn started_job_waits_anew() {
+    let mut cluster = Cluster::new(&[]);
+    cluster.submit(job("j", vec![step(1)]));
+    advance(&mut cluster, 15 * STEP);
+    cluster.add_worker(entry("w1"));
+    advance(&mut cluster, 5 * STEP);
+    cluster.configure(with_pool(2, SPARE));
+    cluster.end_run("j.0.0.0", End::Failed);
+    advance(&mut cluster, 15 * STEP);
+    assert_eq!(cluster.transferred, []);
+    advance(&mut cluster, 10 * STEP);
+    transferred(&cluster);
+}
+
 /// Guards against a job that runs in two partitions: the one that it left reads its acceptance again.
 #[test]
 fn left_job_accepted_again() {
