--- a/crates/daemon/tests/site.rs
+++ b/crates/daemon/tests/site.rs
@@ -16,6 +16,9 @@
 use entry::wait;
 use rstest::rstest;
 use site::Site;
+use wigeonhinge::batch::JobRow;
+use wigeonhinge::batch::StateRow;
+use wigeonhinge_platform::callers::decode_job;
 use wigeonhinge_platform::store::Commit;
 use wigeonhinge_platform::store::Outcome;
 use wigeonhinge_platform::store::Store;
@@ -80,6 +83,49 @@
     assert_eq!(site.oracle.start_count(), 5);
 }
 
+/// Guards against accepted jobs that are lost in an upgrade: earlier versions of the codec lack the last
+/// fields of a job's row.
+#[rstest]
+#[case::without_workspace(3, 2)]
+#[case::without_transfer(4, 1)]
+#[case::current(5, 0)]
+fn job_of_earlier_codec_completes(#[case] version: u8, #[case] missing: usize) {
+    let site = Site::spawn(3);
+    let id = "00000000000000c0";
+    let row = JobRow {
+        id: id.into(),
+        partition: 0,
+        queue: "r1".into(),
+        pool: "crews".into(),
+        accepted_ms: 0,
+        job: decode_job(JOB.as_bytes()).expect("a valid job"),
+        workspace: "".into(),
+        transfer: None,
+    };
+    // Each missing field is one byte if it is empty.
+    let mut row = postcard::to_extend(&row, vec![version]).expect("a row");
+    row.truncate(row.len() - missing);
+    let state = StateRow {
+        queue: "r1".into(),
+        ..StateRow::default()
+    };
+    let state = postcard::to_extend(&state, vec![version]).expect("a row");
+    let commit = Commit {
+        writes: vec![
+            (format!("wigeonhinge-in/0/job/{id}"), row, 0),
+            (format!("wigeonhinge-state/{id}"), state, 0),
+        ],
+        ..Commit::default()
+    };
+    let store = Store::new(site.store);
+    let outcome = site::runtime::block_on(store.commit(&commit, Duration::from_secs(2)));
+    assert!(matches!(outcome, Ok(Outcome::Done(_))), "{outcome:?}");
+    let entry = Entry::spawn(site.store, "e1");
+    entry.wait_ready();
+    entry.wait_state(id, "completed");
+    assert_eq!(site.oracle.start_count(), 5);
+}
+
 #[rstest]
 #[case::unknown_queue("GET", "/other/00000000000000aa", 404)]
 #[case::unknown_job("GET", "/jobs/00000000000000ab", 410)]
