--- a/crates/daemon/tests/transfer_series.rs
+++ b/crates/daemon/tests/transfer_series.rs
@@ -22,7 +22,6 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use rstest::rstest;
-use serde_json::Value;
 use site::Site;
 
 const SPEC: &str = "time-300";
@@ -41,32 +40,16 @@
 /// Worker of the second partition that serves the jobs' pool, and drains at times.
 const ONLY_WORKER: usize = 2;
 
-/// Changes the registry entry of a worker.
-fn change_worker(site: &Site, index: usize, change: impl FnOnce(&mut Value)) {
-    let key = format!("servers/i-{index}");
-    let entry = site.value(&key).expect("a registry entry");
-    let mut entry: Value = serde_json::from_str(&entry).expect("a registry entry");
-    change(&mut entry);
-    site.put(&key, &entry.to_string());
-}
-
 fn set_draining(site: &Site, drains: bool) {
     let state = if drains { "draining" } else { "ready" };
-    change_worker(site, ONLY_WORKER, |entry| entry["state"] = state.into());
+    site.change_worker(ONLY_WORKER, |entry| entry["state"] = state.into());
 }
 
 /// Starts a site of two partitions: one has two workers of the jobs' pool, the other one has one.
 fn divided() -> Site {
     let site = Site::spawn(4);
-    for index in [2, 3] {
-        change_worker(&site, index, |entry| {
-            entry["labels"] = serde_json::json!(["b", "r2"]);
-        });
-    }
-    change_worker(&site, 3, |entry| entry["service"] = "plans".into());
-    site.put("wigeonhinge/layout", r#"{"partitions":2}"#);
-    site.put("wigeonhinge/rack/r1", r#"{"partition":0,"labels":[]}"#);
-    site.put("wigeonhinge/rack/r2", r#"{"partition":1,"labels":[]}"#);
+    site.divide(&[ONLY_WORKER, 3]);
+    site.change_worker(3, |entry| entry["service"] = "plans".into());
     site
 }
 
--- a/crates/daemon/tests/transfers.rs
+++ b/crates/daemon/tests/transfers.rs
@@ -10,7 +10,6 @@
 
 use entry::Entry;
 use entry::wait;
-use serde_json::Value;
 use site::Site;
 
 const JOB: &str =
@@ -20,28 +19,14 @@
 const LASTING: &str = r#"{"spec":"lasting spec","steps":[{"count":1,"cpu":500,"memMb":100,
     "longRunning":true,"mayMiss":1}]}"#;
 
-/// Changes the registry entry of a worker.
-fn change_worker(site: &Site, index: usize, change: impl FnOnce(&mut Value)) {
-    let key = format!("servers/i-{index}");
-    let entry = site.value(&key).expect("a registry entry");
-    let mut entry: Value = serde_json::from_str(&entry).expect("a registry entry");
-    change(&mut entry);
-    site.put(&key, &entry.to_string());
-}
-
 /// Returns two entries that hold a partition each: the first one has two workers of the pool of all
 /// jobs, the second one has two of another pool.
 fn divided() -> (Site, [Entry; 2]) {
     let site = Site::spawn(4);
+    site.divide(&[2, 3]);
     for index in [2, 3] {
-        change_worker(&site, index, |entry| {
-            entry["service"] = "plans".into();
-            entry["labels"] = serde_json::json!(["b", "r2"]);
-        });
+        site.change_worker(index, |entry| entry["service"] = "plans".into());
     }
-    site.put("wigeonhinge/layout", r#"{"partitions":2}"#);
-    site.put("wigeonhinge/rack/r1", r#"{"partition":0,"labels":[]}"#);
-    site.put("wigeonhinge/rack/r2", r#"{"partition":1,"labels":[]}"#);
     let entries = ["e1", "e2"].map(|name| Entry::spawn(site.store, name));
     for entry in &entries {
         entry.wait_ready();
@@ -102,7 +87,7 @@
         assert!(!has_job(&site, 1, &id), "{id} is in the second partition");
         first.wait_state(&id, "completed");
     }
-    change_worker(&site, 2, |entry| entry["service"] = "crews".into());
+    site.change_worker(2, |entry| entry["service"] = "crews".into());
     wait("the pool has a worker", || {
         let row = site.value("wigeonhinge/absent/1").unwrap_or_default();
         !row.contains("crews")
@@ -158,7 +143,7 @@
 #[test]
 fn jobs_complete_after_last_worker_left() {
     let (site, [first, second]) = divided();
-    change_worker(&site, 2, |entry| entry["service"] = "crews".into());
+    site.change_worker(2, |entry| entry["service"] = "crews".into());
     thread::sleep(Duration::from_millis(500));
     let id = misplaced_job(&site, &second, LASTING);
     wait("the job runs", || site.oracle.is_at_work(&id));
