--- a/crates/daemon/src/site/role/transfers.rs
+++ b/crates/daemon/src/site/role/transfers.rs
@@ -42,8 +42,8 @@
             return;
         }
         let now = clock::now();
-        let stranded = self.batch.stranded_jobs(now);
-        if stranded.is_empty() {
+        let unschedulable = self.batch.unschedulable_jobs(now);
+        if unschedulable.is_empty() {
             return;
         }
         let mut others: BTreeMap<Partition, Vec<&WorkerEntry>> = BTreeMap::new();
@@ -57,7 +57,7 @@
             }
         }
         let mut transfers = Vec::new();
-        for job in stranded {
+        for job in unschedulable {
             let fitting = others.iter().filter(|(_, it)| self.batch.can_run(&job, it));
             let fitting: Vec<Partition> = fitting.map(|(partition, _)| *partition).collect();
             transfers.extend(pick(&job, &fitting).map(|to| (job, to)));
--- a/crates/wigeonhinge/src/batch.rs
+++ b/crates/wigeonhinge/src/batch.rs
@@ -208,7 +208,7 @@
     final_writes: VecDeque<Write>,
     /// Jobs that passed to other partitions: the number of their transfers then, and the time until
     /// which an older row is known by it.
-    left_jobs: BTreeMap<JobId, (u32, Time)>,
+    transferred_jobs: BTreeMap<JobId, (u32, Time)>,
     /// Where the last search for jobs that no worker can run ended in each ready queue.
     searched: BTreeMap<PoolId, Rank>,
     /// Jobs that ended or left whose last rows the store does not hold yet, with their versions.
@@ -266,7 +266,7 @@
             blocked_until: BTreeMap::new(),
             open_orders: BTreeMap::new(),
             final_writes: VecDeque::new(),
-            left_jobs: BTreeMap::new(),
+            transferred_jobs: BTreeMap::new(),
             searched: BTreeMap::new(),
             unstored_jobs: BTreeMap::new(),
             unstored_ends: BTreeMap::new(),
--- a/crates/wigeonhinge/src/batch/job.rs
+++ b/crates/wigeonhinge/src/batch/job.rs
@@ -64,7 +64,9 @@
     /// Whether it was logged that the job waits for the cap of its workspace.
     pub(super) cap_logged: bool,
     /// Since when no worker of the partition can run its ready tasks; see `transfer`.
-    pub(super) stranded_since: Option<Time>,
+    pub(super) unschedulable_since: Option<Time>,
+    /// Whether it was logged that no worker can run its ready tasks.
+    pub(super) wait_logged: bool,
 }
 
 /// Execution of all steps of a job; a repeated job has several.
@@ -106,7 +108,8 @@
             stored_version: 0,
             write_queued: false,
             cap_logged: false,
-            stranded_since: None,
+            unschedulable_since: None,
+            wait_logged: false,
         };
         if let Some(queue) = queue {
             job.apply_queue(queue);
@@ -345,7 +348,10 @@
 impl Batch {
     pub(super) fn accept(&mut self, mut row: JobRow, progress: Option<StoredProgress>, now: Time) {
         let id = row.id.clone();
-        if self.jobs.contains_key(&id) || self.ended_jobs.contains_key(&id) || self.has_left(&row) {
+        if self.jobs.contains_key(&id)
+            || self.ended_jobs.contains_key(&id)
+            || self.was_transferred(&row)
+        {
             return;
         }
         let brought = row.transfer.as_mut().map(|it| StoredProgress {
--- a/crates/wigeonhinge/src/batch/place.rs
+++ b/crates/wigeonhinge/src/batch/place.rs
@@ -115,7 +115,7 @@
             return;
         };
         job.phase = Phase::Active;
-        job.stranded_since = None;
+        job.unschedulable_since = None;
         let workspace = job.row.workspace.clone();
         self.holds.release(task);
         let mut suspicion = SuspicionLevel::None;
--- a/crates/wigeonhinge/src/batch/transfer.rs
+++ b/crates/wigeonhinge/src/batch/transfer.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::batch::Action;
 use crate::batch::Batch;
 use crate::batch::JobRow;
 use crate::batch::Step;
@@ -27,7 +28,7 @@
 const MAX_SEARCHED: usize = 128;
 
 /// Most jobs that one search returns.
-const MAX_STRANDED: usize = 32;
+const MAX_UNSCHEDULABLE: usize = 32;
 
 /// Most tasks that were started of a job that is transferred. Their progress is part of the job's row,
 /// and the store limits its length.
@@ -74,8 +75,8 @@
     /// partition could run their ready tasks.
     ///
     /// A call looks at a part of the ready tasks, and the next one goes on from there.
-    pub fn stranded_jobs(&mut self, now: Time) -> Vec<JobId> {
-        self.left_jobs.retain(|_, (_, until)| *until > now);
+    pub fn unschedulable_jobs(&mut self, now: Time) -> Vec<JobId> {
+        self.transferred_jobs.retain(|_, (_, until)| *until > now);
         if self.ready.values().all(ReadyQueue::is_empty) {
             return Vec::new();
         }
@@ -88,7 +89,8 @@
             let pool = pools.entry(&worker.entry.pool).or_default();
             pool.push(&worker.entry);
         }
-        let mut stranded = Vec::new();
+        let mut unschedulable = Vec::new();
+        let mut lines = Vec::new();
         for (pool, ready) in &self.ready {
             let workers = pools.get(pool).map(Vec::as_slice).unwrap_or_default();
             let mut at = self.searched.remove(pool);
@@ -102,26 +104,32 @@
                     && let Some(step) = job.step(task.step)
                 {
                     match step.can_run_on(workers.iter().copied()) {
-                        true => job.stranded_since = None,
+                        true => job.unschedulable_since = None,
                         false => {
-                            let since = *job.stranded_since.get_or_insert(now);
+                            let since = *job.unschedulable_since.get_or_insert(now);
                             let waited = now.saturating_sub(since) >= TRANSFER_DELAY;
-                            if waited && !stranded.contains(&task.job) {
-                                stranded.push(task.job.clone());
+                            if waited && !unschedulable.contains(&task.job) {
+                                unschedulable.push(task.job.clone());
+                            }
+                            if waited && !std::mem::replace(&mut job.wait_logged, true) {
+                                lines.push(format!(
+                                    "jobs: no worker of pool {pool} here can run {task}, which waits"
+                                ));
                             }
                         }
                     }
                 }
                 at = Some(rank.clone().last_of_step());
-                if stranded.len() >= MAX_STRANDED {
+                if unschedulable.len() >= MAX_UNSCHEDULABLE {
                     break;
                 }
             }
             self.searched
                 .extend(at.map(|rank: Rank| (pool.clone(), rank)));
         }
-        stranded.retain(|job| !self.has_runs(job) && self.is_movable(job));
-        stranded
+        self.actions.extend(lines.into_iter().map(Action::Log));
+        unschedulable.retain(|job| !self.has_runs(job) && self.is_movable(job));
+        unschedulable
     }
 
     /// Returns whether a run of a job may exist on a worker.
@@ -176,16 +184,16 @@
         };
         let count = job.row.transfer.as_ref().map_or(0, |it| it.count) + 1;
         let until = now + self.bounds.retention;
-        self.left_jobs.insert(id.clone(), (count, until));
+        self.transferred_jobs.insert(id.clone(), (count, until));
         self.unstored_jobs.insert(id.clone(), version);
         self.final_writes.push_back(job.into_transfer(to, count));
     }
 
     /// Returns whether a job left for another partition after its row was written, so that a list of
     /// accepted jobs that is read late still has it.
-    pub(super) fn has_left(&self, row: &JobRow) -> bool {
+    pub(super) fn was_transferred(&self, row: &JobRow) -> bool {
         let count = row.transfer.as_ref().map_or(0, |it| it.count);
-        let left = self.left_jobs.get(&row.id);
+        let left = self.transferred_jobs.get(&row.id);
         left.is_some_and(|(left, _)| count < *left)
     }
 }
--- a/crates/wigeonhinge/tests/batch_transfers.rs
+++ b/crates/wigeonhinge/tests/batch_transfers.rs
@@ -33,7 +33,7 @@
     let until = cluster.now + time;
     while cluster.now < until {
         cluster.advance(STEP);
-        for job in cluster.batch.stranded_jobs(cluster.now) {
+        for job in cluster.batch.unschedulable_jobs(cluster.now) {
             cluster.batch.transfer(&job, 1, cluster.now);
         }
         cluster.store_writes();
@@ -172,7 +172,7 @@
 
 /// Guards against a job that runs in two partitions: the one that it left reads its acceptance again.
 #[test]
-fn left_job_accepted_again() {
+fn transferred_job_accepted_again() {
     let mut cluster = Cluster::new(&[]);
     let accepted = job("j", vec![step(1)]);
     cluster.submit(accepted.clone());
@@ -198,7 +198,7 @@
 /// Guards against a task that is done twice: the end of a run that counted as lost is acknowledged
 /// before the store has the job in its new partition.
 #[test]
-fn left_job_unstored() {
+fn transferred_job_unstored() {
     let mut cluster = Cluster::new(&["w1"]);
     cluster.submit(job("j", vec![step(1)]));
     cluster.advance(5 * STEP);
@@ -207,11 +207,11 @@
     let runs = std::mem::take(&mut node.runs);
     cluster.configure(with_pool(2, SPARE));
     cluster.advance(25 * STEP);
-    cluster.batch.stranded_jobs(cluster.now);
+    cluster.batch.unschedulable_jobs(cluster.now);
     cluster.advance(25 * STEP);
-    let stranded = cluster.batch.stranded_jobs(cluster.now);
-    assert_eq!(stranded, ["j"]);
-    cluster.batch.transfer(&stranded[0], 1, cluster.now);
+    let unschedulable = cluster.batch.unschedulable_jobs(cluster.now);
+    assert_eq!(unschedulable, ["j"]);
+    cluster.batch.transfer(&unschedulable[0], 1, cluster.now);
     let node = cluster.nodes.get_mut(worker).expect("a worker");
     node.finished
         .extend(runs.into_iter().map(|(task, work)| FinishedRun {
@@ -233,7 +233,7 @@
 
 /// Jobs behind many that wait for a busy worker are found as well.
 #[test]
-fn stranded_jobs_behind_others() {
+fn unschedulable_jobs_behind_others() {
     let mut cluster = Cluster::new(&["w1"]);
     for index in 0..600 {
         cluster.submit(job(&format!("busy{index:03}"), vec![step(1)]));
